--- /dev/null
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -0,0 +1,414 @@
+//! The line protocol: decodes each line into a call on `Inflow`, encodes decisions into lines.
+
+use hazelgrade::chance::Chance;
+use hazelgrade::control::{Control, Inflow};
+use hazelgrade::desk::*;
+use hazelgrade::time::{Span, Time};
+use serde_json::Value;
+use std::fmt::Write;
+
+/// What is wrong with a line: the field, and what was expected.
+#[derive(Debug)]
+pub struct Fault(pub String);
+
+fn fault<T>(field: &str, expected: &str) -> Result<T, Fault> {
+    Err(Fault(format!("field {field}: expected {expected}")))
+}
+
+/// The fields of a line, taken one after the other.
+pub struct Fields<'a> {
+    rest: Option<&'a str>,
+}
+
+impl<'a> Fields<'a> {
+    pub fn new(line: &'a str) -> Fields<'a> {
+        Fields { rest: Some(line) }
+    }
+
+    pub fn text(&mut self, field: &str) -> Result<&'a str, Fault> {
+        let Some(rest) = self.rest else {
+            return fault(field, "one more field on the line");
+        };
+        let (now, later) = match rest.split_once('\t') {
+            Some((now, later)) => (now, Some(later)),
+            None => (rest, None),
+        };
+        self.rest = later;
+        Ok(now)
+    }
+
+    /// All that is left of the line.
+    fn remainder(&mut self, field: &str) -> Result<&'a str, Fault> {
+        self.rest.take().map_or_else(|| fault(field, "text up to the end of the line"), Ok)
+    }
+
+    pub fn whole(&mut self, field: &str) -> Result<u64, Fault> {
+        let text = self.text(field)?;
+        match text.parse::<u64>() {
+            Ok(number) if number <= 1 << 63 => Ok(number),
+            _ => fault(field, "a whole number from 0 to 2^63"),
+        }
+    }
+
+    /// A number from `least` up, or the value for an absent one.
+    fn number(&mut self, field: &str, least: f64, absent: Option<f64>) -> Result<f64, Fault> {
+        let text = self.text(field)?;
+        match (text, absent) {
+            ("-", Some(absent)) => Ok(absent),
+            _ => match text.parse::<f64>() {
+                Ok(number) if number.is_finite() && number >= least && number.abs() < 1e15 => Ok(number),
+                _ => fault(field, "a finite number in range"),
+            },
+        }
+    }
+
+    pub fn time(&mut self, field: &str) -> Result<Time, Fault> {
+        self.number(field, f64::MIN, None).map(Time::from_ms)
+    }
+
+    fn span(&mut self, field: &str) -> Result<Span, Fault> {
+        self.number(field, 0.0, None).map(Span::from_ms)
+    }
+
+    fn id(&mut self, field: &str) -> Result<JobId, Fault> {
+        match self.text(field)? {
+            "" | "-" => fault(field, "a job's id"),
+            text => Ok(text.into()),
+        }
+    }
+
+    fn outcome(&mut self, field: &str) -> Result<Outcome, Fault> {
+        Ok(match self.text(field)? {
+            "completed" => Outcome::Completed,
+            "errored" => Outcome::Errored,
+            "saturated" => Outcome::Full,
+            "overdue" => Outcome::Overdue,
+            "refused_conn" => Outcome::Unreachable,
+            "severed" => Outcome::Severed,
+            "recalled" => Outcome::Stopped,
+            "superseded" => Outcome::Moot,
+            _ => return fault(field, "one of the outcome codes"),
+        })
+    }
+
+    pub fn end(&mut self) -> Result<(), Fault> {
+        if self.rest.is_some() { fault("after the last one", "the end of the line") } else { Ok(()) }
+    }
+}
+
+/// Decodes an event of a running instance into the call that it stands for. `name` and the instance's number
+/// have been taken off the line.
+pub fn tell(
+    name: &str,
+    fields: &mut Fields,
+    counts: Counts,
+    now: Time,
+    inflow: &mut Inflow,
+) -> Result<(), Fault> {
+    match name {
+        "ingress" => {
+            let job = job(fields, counts, now)?;
+            fields.end()?;
+            inflow.arrived(job);
+        }
+        "wound_up" | "returned" => {
+            let (id, outcome, took) = (fields.id("handle")?, fields.outcome("result")?, fields.span("rtt")?);
+            fields.end()?;
+            match name {
+                "wound_up" => inflow.run_ended(&id, outcome, took),
+                _ => inflow.call_ended(&id, outcome, took),
+            }
+        }
+        "needs_dep" => {
+            let id = fields.id("handle")?;
+            fields.end()?;
+            inflow.at_call(&id);
+        }
+        "timed_out_client" => {
+            let id = fields.id("handle")?;
+            fields.end()?;
+            inflow.caller_gone(&id);
+        }
+        "retire_soon" => {
+            let stop = fields.time("expires")?;
+            fields.end()?;
+            inflow.leaving(stop);
+        }
+        "timeout_fired" => {
+            let token = fields.whole("cookie")?;
+            let gauges = gauges(fields.text("serverStats")?)?;
+            fields.end()?;
+            inflow.woke(token, gauges);
+        }
+        _ => return fault("message", "a known message name"),
+    }
+    Ok(())
+}
+
+/// How many use cases and customers an instance was told of: places in those lists must lie within.
+#[derive(Clone, Copy, Debug)]
+pub struct Counts {
+    use_cases: usize,
+    customers: usize,
+}
+
+fn job(fields: &mut Fields, counts: Counts, now: Time) -> Result<Job, Fault> {
+    let id = fields.id("handle")?;
+    let use_case = fields.whole("category")? as usize;
+    if use_case >= counts.use_cases {
+        return fault("category", "a place in the list of classes");
+    }
+    let customer = fields.number("team", 0.0, Some(0.0))? as usize;
+    if customer >= counts.customers.max(1) {
+        return fault("team", "a place in the list of customers");
+    }
+    fields.text("affinity")?;
+    let expires = fields.number("expires", f64::MIN, Some(0.0))?;
+    fields.number("costGuess", 0.0, Some(0.0))?;
+    let held_kb = fields.number("sizeKb", 0.0, Some(0.0))?;
+    let rank = fields.number("standing", 0.0, Some(0.0))?;
+    if rank >= 1.0 {
+        return fault("standing", "a number from 0 up to less than 1");
+    }
+    let bits = match fields.number("opts", 0.0, Some(0.0))? {
+        bits if bits.fract() == 0.0 => bits as u64,
+        _ => return fault("opts", "a sum of bit values"),
+    };
+    fields.number("srcPeer", 0.0, Some(0.0))?;
+    let lay = Span::from_ms(fields.number("lay", 0.0, Some(0.0))?);
+    let repeats = match fields.text("prior")? {
+        "-" | "0" | "" => None,
+        prior => Some(prior.into()),
+    };
+    let waits_until = (expires != 0.0).then(|| Time::from_ms(expires));
+    let again = bits & 2 != 0;
+    Ok(Job { id, use_case, customer, reached: now - lay, waits_until, held_kb, rank, again, repeats })
+}
+
+fn gauges(text: &str) -> Result<Gauges, Fault> {
+    let mut gauges = Gauges::default();
+    for pair in text.split(',').filter(|pair| !matches!(*pair, "" | "-")) {
+        let Some((name, value)) = pair.split_once(':') else {
+            return fault("serverStats", "name:value pairs");
+        };
+        let Ok(value) = value.parse::<f64>() else {
+            return fault("serverStats", "a number after the colon");
+        };
+        match name {
+            "core_use" => gauges.core_use = Some(value),
+            "on_cores" => gauges.on_cores = Some(value),
+            _ => {}
+        }
+    }
+    Ok(gauges)
+}
+
+/// A part of the settings, with the path to it for messages.
+struct Part<'a> {
+    value: Option<&'a Value>,
+    path: &'a str,
+}
+
+impl<'a> Part<'a> {
+    fn of(settings: &'a Value, path: &'a str) -> Part<'a> {
+        Part { value: settings.get(path), path }
+    }
+
+    fn number(&self, key: &str, absent: f64) -> Result<f64, Fault> {
+        match self.value.and_then(|value| value.get(key)) {
+            None | Some(Value::Null) => Ok(absent),
+            Some(value) => match value.as_f64().filter(|number| number.is_finite() && *number >= 0.0) {
+                Some(number) => Ok(number),
+                None => fault(&format!("settings.{}.{key}", self.path), "a number from 0 up"),
+            },
+        }
+    }
+
+    fn span(&self, key: &str, absent: f64) -> Result<Span, Fault> {
+        self.number(key, absent).map(Span::from_ms)
+    }
+
+    fn word(&self, key: &str, absent: &'a str) -> Result<&'a str, Fault> {
+        match self.value.and_then(|value| value.get(key)) {
+            None | Some(Value::Null) => Ok(absent),
+            Some(Value::String(word)) => Ok(word),
+            _ => fault(&format!("settings.{}.{key}", self.path), "a word"),
+        }
+    }
+
+    fn truth(&self, key: &str) -> Result<bool, Fault> {
+        match self.value.and_then(|value| value.get(key)) {
+            None | Some(Value::Null) => Ok(false),
+            Some(value) => match value.as_bool() {
+                Some(truth) => Ok(truth),
+                None => fault(&format!("settings.{}.{key}", self.path), "true or false"),
+            },
+        }
+    }
+}
+
+fn list<'a>(settings: &'a Value, key: &str) -> Result<&'a [Value], Fault> {
+    match settings.get(key) {
+        None | Some(Value::Null) => Ok(&[]),
+        Some(Value::Array(list)) => Ok(list),
+        _ => fault(&format!("settings.{key}"), "a list"),
+    }
+}
+
+/// Decodes the rest of a `launch` line into a new instance.
+pub fn launch(fields: &mut Fields) -> Result<(Control, Counts), Fault> {
+    let seed = fields.whole("prng")?;
+    let text = fields.remainder("settings")?;
+    let Ok(settings) = serde_json::from_str::<Value>(text) else {
+        return fault("settings", "a JSON object");
+    };
+    if !settings.is_object() {
+        return fault("settings", "a JSON object");
+    }
+    let specifics = Part::of(&settings, "specifics");
+    let by_class = |key: &str| specifics.value.and_then(|value| value.get(key)).and_then(Value::as_array);
+    let (calls, skips) = (by_class("callsByClass"), by_class("classSkipWorth"));
+    let below = specifics.word("below", "none")?;
+    let calls_below = !matches!(below, "none" | "silent" | "");
+    let mut use_cases = Vec::new();
+    for (place, class) in list(&settings, "classes")?.iter().enumerate() {
+        let part = Part { value: Some(class), path: "classes" };
+        let at = |list: Option<&Vec<Value>>| list.and_then(|list| list.get(place)).cloned();
+        let cut_off = part.number("giveUp", 0.0)?;
+        use_cases.push(UseCase {
+            goal: part.span("aim", cut_off)?,
+            cut_off: Span::from_ms(cut_off),
+            earnings: part.number("gain", 1.0)?,
+            late_part: part.number("lateWorth", 0.0)?,
+            repeats: match part.word("idempotency", "safe")? {
+                "safe" => Repeats::Reissuable,
+                "keyed" => Repeats::Numbered,
+                "unsafe" => Repeats::AtMostOnce,
+                _ => return fault("settings.classes.idempotency", "safe, keyed or unsafe"),
+            },
+            window: part.span("window", 0.0)?,
+            calls: calls_below && at(calls).and_then(|value| value.as_bool()).unwrap_or(true),
+            part_without_call: at(skips).and_then(|value| value.as_f64()).unwrap_or(0.0),
+        });
+    }
+    let mut customers = Vec::new();
+    for customer in list(&settings, "customers")? {
+        let part = Part { value: Some(customer), path: "customers" };
+        customers.push(Customer { quota: part.number("quotaPerS", f64::INFINITY)? });
+    }
+    let guarantees = Part::of(&settings, "guarantees");
+    let machine = Machine {
+        cores: specifics.number("cores", 1.0)?.max(1.0),
+        memory_kb: specifics.number("memoryKb", f64::INFINITY)?,
+        running_factor: specifics.number("blowup", 1.0)?,
+        entry_kb: specifics.number("keyKb", 0.0)?,
+        cold: specifics.truth("cold")?,
+        stopping: match specifics.word("halt", "silent")? {
+            "silent" | "none" => Stopping::Never,
+            "drop" => Stopping::Drops,
+            "pause" => Stopping::Pauses,
+            _ => return fault("settings.specifics.halt", "silent, drop or pause"),
+        },
+        tick: Span::from_ms(Part { value: Some(&settings), path: "" }.number("quantum", 1.0)?.max(0.001)),
+    };
+    let promises = Promises {
+        answer_slack: guarantees.span("answerSlack", 0.0)?,
+        cold_from: guarantees.number("coldFrom", 1.0)?,
+        warm_up: guarantees.span("warmUp", 0.0)?,
+        drain_grace: guarantees.span("drainGrace", 0.0)?,
+        crowd_per_core: guarantees.number("tipMultiple", f64::INFINITY)?.max(1.0),
+        crowd_over: guarantees.span("fall", 0.0)?,
+    };
+    let told = specifics.number("callsOut", 0.0)?;
+    let below = Below {
+        share: (told > 0.0).then_some(told),
+        share_over: specifics.span("callsOver", 0.0)?,
+        linger: specifics.span("linger", 0.0)?,
+    };
+    let ceilings = Part::of(&settings, "ceilings");
+    let advice = ceilings.truth("retryAfter")?;
+    let callers = Callers {
+        count: specifics.number("callers", 1.0)?,
+        signal: match specifics.word("signal", "silent")? {
+            "silent" | "none" => Signal::Silent,
+            "level" => Signal::Level,
+            "credit" => Signal::Credit,
+            "weight" => Signal::Weight,
+            _ => return fault("settings.specifics.signal", "silent, level, credit or weight"),
+        },
+        heeded_for: specifics.span("saidFor", 1000.0)?,
+        longest_back_in: if advice { ceilings.span("maxRetryAfter", 0.0)? } else { Span::ZERO },
+        mark_again: Part::of(&settings, "clients").truth("marksRetry")?,
+        fleet: Part { value: Some(&settings), path: "" }.number("fleetSize", 1.0)?,
+        over_quota_part: Part { value: Some(&settings), path: "" }.number("overShareWorth", 1.0)?,
+    };
+    let counts = Counts { use_cases: use_cases.len(), customers: customers.len() };
+    Ok((Control::new(use_cases, customers, machine, promises, below, callers, Chance::new(seed)), counts))
+}
+
+/// Writes the decisions of one instance as lines of the reply.
+pub struct Reply<'a> {
+    pub lines: &'a mut String,
+    pub instance: u64,
+}
+
+impl Reply<'_> {
+    fn line(&mut self, name: &str, id: &str, rest: std::fmt::Arguments) {
+        // Writing into a String can't fail.
+        let _ = writeln!(self.lines, "{name}\t{}\t{id}{rest}", self.instance);
+    }
+}
+
+impl Decisions for Reply<'_> {
+    fn run(&mut self, id: &JobId) {
+        self.line("execute", id, format_args!(""));
+    }
+
+    fn bounce(&mut self, id: &JobId, not_elsewhere: bool, back_in: Span) {
+        self.line("decline", id, format_args!("\t{}\t{}", u8::from(not_elsewhere), back_in.as_ms()));
+    }
+
+    fn write_off(&mut self, id: &JobId) {
+        self.line("finish_error", id, format_args!(""));
+    }
+
+    fn call(&mut self, id: &JobId, within: Span) {
+        self.line("call_dep", id, format_args!("\t{}", within.as_ms()));
+    }
+
+    fn skip_call(&mut self, id: &JobId) {
+        self.line("go_on", id, format_args!(""));
+    }
+
+    fn stop(&mut self, id: &JobId) {
+        self.line("halt", id, format_args!(""));
+    }
+
+    fn share(&mut self, id: &JobId) {
+        self.line("join", id, format_args!(""));
+    }
+
+    fn remember(&mut self, id: &JobId, span: Span) {
+        self.line("keep", id, format_args!("\t{}", span.as_ms()));
+    }
+
+    fn forget(&mut self, id: &JobId) {
+        self.line("drop_key", id, format_args!(""));
+    }
+
+    fn say(&mut self, value: f64) {
+        self.line("announce", "", format_args!("{value}"));
+    }
+
+    fn health(&mut self, good: bool, from_store: bool) {
+        self.line("set_health", "", format_args!("{}\t{}", u8::from(from_store), u8::from(good)));
+    }
+
+    fn wake_at(&mut self, at: Time, token: u64) {
+        self.line("timer", "", format_args!("{}\t{token}", at.as_ms()));
+    }
+
+    fn note(&mut self, text: &str) {
+        self.line("print", "", format_args!("{}", text.replace(['\t', '\n', '\r'], " ")));
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade/src/chance.rs
@@ -0,0 +1,21 @@
+//! Chance from a multiply-with-carry generator: the same seed gives the same sequence.
+
+#[derive(Clone, Debug)]
+pub struct Chance {
+    value: u32,
+    carry: u32,
+}
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        Chance { value: seed as u32 ^ 0x5bd1_e995, carry: ((seed >> 32) as u32 & 0x3fff_ffff) | 1 }
+    }
+
+    /// The next number, from 0 up to less than 1.
+    pub fn draw(&mut self) -> f64 {
+        let next = u64::from(self.value) * 4_294_957_665 + u64::from(self.carry);
+        self.value = next as u32;
+        self.carry = (next >> 32) as u32;
+        f64::from(self.value) / 4_294_967_296.0
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade/src/control.rs
@@ -0,0 +1,906 @@
+//! The decision module: what one server takes, runs and turns away.
+//!
+//! How it is called: once a batch, `control.round(now, |inflow| …, &mut writer)`. The closure tells `Inflow`
+//! what came in, in order; then the module decides, and writes what it decides into the writer. The interface
+//! is `desk.rs` (`Decisions` and the job and setting types); clock, sums and chance stand beside it.
+//!
+//! The design (`docs/design.md`) is `CallGate`: permits, a bounded call queue, a learned depth, a wait budget,
+//! bounces at arrival. Beside it stand six mechanisms:
+//! 1. `RunTrial`: how many jobs run at once is tried out, within what the crowd rule allows.
+//! 2. The hold goes by earnings for time on the cores; what can't be in time any more is answered at once.
+//! 3. `Quotas`: a customer's jobs beyond its quota count for less in that order.
+//! 4. `Openness`: surplus is kept away by the value said to callers, by back-in times and "not elsewhere".
+//! 5. A job whose call can't be made goes on without it, where that still earns something.
+//! 6. The rules' guards: cut-off, drain, memory, crowd, and `Entries` for numbered jobs.
+
+use crate::chance::Chance;
+use crate::decay::DecaySum;
+use crate::desk::*;
+use crate::time::{Span, Time};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The post's permits, for a tier below that tells no share.
+const UNTOLD_PERMITS: f64 = 8.0;
+/// Part of a limit of the rules that is used at most: what is read or comes back meanwhile needs the rest.
+const RULE_ROOM: f64 = 0.8;
+/// What is learned fades over this many of the shortest goal times: long enough to hold some dozens of jobs,
+/// short enough to follow a trouble of some seconds.
+const MEMORY_IN_GOALS: f64 = 2.0;
+/// Part of the shortest goal time that jobs may wait on average before surplus is kept away.
+const WAIT_PART: f64 = 0.15;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    Held,
+    OnCores,
+    Queued,
+    Calling,
+    Sharing,
+}
+
+/// A job in hand: until its answer, and if it runs, until its run has ended.
+struct InHand {
+    job: Job,
+    order: u64,
+    stage: Stage,
+    /// When the stage began.
+    since: Time,
+    read: Time,
+    on_cores: Span,
+    due: Time,
+    goal: Time,
+    answered: bool,
+    ran: bool,
+    call_tries: u32,
+    /// A call of it may have had its effect.
+    call_unsure: bool,
+}
+
+impl InHand {
+    fn running(&self) -> bool {
+        !matches!(self.stage, Stage::Held | Stage::Sharing)
+    }
+}
+
+/// Mean of a length of time, over what ended lately.
+struct Pace {
+    total: DecaySum,
+    count: DecaySum,
+}
+
+impl Pace {
+    fn new(fade: Span) -> Pace {
+        Pace { total: DecaySum::new(fade), count: DecaySum::new(fade) }
+    }
+
+    fn learn(&mut self, now: Time, span: Span) {
+        self.total.add(now, span.as_ms());
+        self.count.add(now, 1.0);
+    }
+
+    /// Nothing before the first sample; after idleness the last mean still stands.
+    fn mean(&mut self, now: Time) -> Option<Span> {
+        let (total, count) = (self.total.read(now), self.count.read(now));
+        (count > f64::MIN_POSITIVE).then(|| Span::from_ms(total / count))
+    }
+}
+
+/// The design's semaphore and bounded queue before what lies below.
+struct CallGate {
+    share: Option<f64>,
+    queue: VecDeque<JobId>,
+    in_hand: usize,
+    /// When calls that were given up have left what lies below.
+    lingering: Vec<Time>,
+    latency: Pace,
+    /// With a share under one call: when the permit may be used again.
+    closed_until: Option<Time>,
+}
+
+impl CallGate {
+    fn permits(&self) -> f64 {
+        self.share.unwrap_or(UNTOLD_PERMITS).floor().max(1.0)
+    }
+
+    fn in_use(&self) -> f64 {
+        (self.in_hand + self.lingering.len()) as f64
+    }
+
+    /// Calls a second that leave what lies below: from the time that calls take, not from counts over the
+    /// clock, so that a pause of the process or idleness doesn't shrink it.
+    fn drain(&mut self, now: Time) -> Option<f64> {
+        let latency = self.latency.mean(now)?;
+        Some(self.share.unwrap_or(UNTOLD_PERMITS) * 1000.0 / latency.as_ms().max(0.001))
+    }
+
+    fn budget(&mut self, now: Time, wait: Span) -> Span {
+        wait.less(self.latency.mean(now).unwrap_or(Span::ZERO))
+    }
+
+    fn depth(&mut self, now: Time, wait: Span) -> f64 {
+        let budget = self.budget(now, wait);
+        self.drain(now).map_or(self.permits(), |rate| (rate * budget.as_ms() / 1000.0).max(1.0))
+    }
+
+    fn full(&mut self, now: Time, wait: Span) -> bool {
+        self.queue.len() as f64 >= self.depth(now, wait)
+    }
+
+    /// Depth over drain rate.
+    fn back_in(&mut self, now: Time, wait: Span) -> Span {
+        let depth = self.depth(now, wait);
+        self.drain(now).map_or(wait, |rate| Span::from_ms(depth * 1000.0 / rate))
+    }
+
+    fn may_call(&mut self, now: Time) -> bool {
+        self.lingering.retain(|until| *until > now);
+        self.closed_until.is_none_or(|until| until <= now) && self.in_use() < self.permits()
+    }
+
+    /// A call is over, or given up and lingering below. A permit of a part share rests in proportion.
+    fn over(&mut self, now: Time, lasted: Span, linger: Option<Span>) {
+        self.in_hand = self.in_hand.saturating_sub(1);
+        let left = now + linger.unwrap_or(Span::ZERO);
+        if linger.is_some() {
+            self.lingering.push(left);
+        }
+        if let Some(share) = self.share.filter(|share| *share < 1.0) {
+            let used = lasted + left.since(now);
+            self.closed_until = Some(left + used * (1.0 / share.max(0.001) - 1.0));
+        }
+    }
+}
+
+/// How many jobs run at once: a step up or down, kept if more gets done while jobs wait.
+struct RunTrial {
+    limit: f64,
+    step: f64,
+    before: Option<f64>,
+    done: f64,
+    busy: Span,
+    checked: Option<Time>,
+    jobs_wait: bool,
+}
+
+impl RunTrial {
+    /// More must get done by this part for a step to be kept: less is chance.
+    const GAIN: f64 = 0.05;
+    /// A step is judged after this many jobs for each that may run.
+    const JUDGED_AFTER: f64 = 4.0;
+
+    fn ended(&mut self, weight: f64) {
+        if self.jobs_wait {
+            self.done += weight;
+        }
+    }
+
+    fn settle(&mut self, now: Time, jobs_wait: bool, least: f64, most: f64) {
+        if self.jobs_wait {
+            self.busy += self.checked.map_or(Span::ZERO, |checked| now.since(checked));
+        }
+        (self.checked, self.jobs_wait) = (Some(now), jobs_wait);
+        if self.done >= Self::JUDGED_AFTER * self.limit {
+            let rate = self.done / self.busy.as_ms().max(1.0);
+            match self.before {
+                Some(before) if rate < before * (1.0 + Self::GAIN) => {
+                    self.limit -= self.step;
+                    self.step = -self.step;
+                    self.before = None;
+                }
+                _ => {
+                    self.before = Some(rate);
+                    self.limit += self.step;
+                }
+            }
+            (self.done, self.busy) = (0.0, Span::ZERO);
+        }
+        if self.limit + self.step < least || self.limit + self.step > most {
+            self.step = -self.step;
+        }
+        self.limit = self.limit.clamp(least, most.max(least));
+    }
+}
+
+/// What part of a customer's jobs earns in full, by its rate here against its quota over the fleet.
+struct Quotas {
+    rates: Vec<DecaySum>,
+    quotas: Vec<f64>,
+    beyond: f64,
+    fleet: f64,
+    fade: Span,
+}
+
+impl Quotas {
+    fn part(&mut self, now: Time, customer: usize) -> f64 {
+        let (Some(rate), Some(quota)) = (self.rates.get_mut(customer), self.quotas.get(customer)) else {
+            return 1.0;
+        };
+        let over_fleet = rate.read(now) * self.fleet * 1000.0 / self.fade.as_ms();
+        if over_fleet <= *quota {
+            return 1.0;
+        }
+        let within = quota / over_fleet;
+        within + (1.0 - within) * self.beyond
+    }
+}
+
+/// The value said to callers: closed fast when jobs wait too long, opened slowly when they don't.
+struct Openness {
+    open: f64,
+    told: Option<f64>,
+    next: Option<Time>,
+}
+
+impl Openness {
+    fn steer(&mut self, wait: f64) {
+        let factor = if wait > 1.0 { 1.0 - 0.3 * (wait - 1.0).min(1.0) } else { 1.0 + 0.15 * (1.0 - wait) };
+        self.open = (self.open * factor).clamp(0.02, 8.0);
+    }
+
+    fn value(&self, signal: Signal, outstanding: f64) -> Option<f64> {
+        match signal {
+            Signal::Silent => None,
+            Signal::Weight => Some(self.open.min(1.0)),
+            Signal::Credit => Some(self.open * outstanding),
+            Signal::Level => Some((1.0 - self.open).max(0.0)),
+        }
+    }
+}
+
+/// The table of numbered jobs: one entry a job, alive until its repeats can't come any more.
+#[derive(Default)]
+struct Entries {
+    kept: BTreeMap<JobId, Entry>,
+}
+
+struct Entry {
+    until: Time,
+    /// Read later than `until`, a repeat may still name this job.
+    named_until: Time,
+    ran: Option<RanAt>,
+}
+
+/// When a numbered job that ran reached the machine and got its entry: repeats that came in between are blind.
+#[derive(Clone, Copy)]
+struct RanAt {
+    use_case: usize,
+    reached: Time,
+    kept: Time,
+    again: bool,
+}
+
+impl Entries {
+    fn alive(&self, now: Time) -> usize {
+        self.kept.values().filter(|entry| entry.until > now).count()
+    }
+
+    /// A numbered job that no entry links may still repeat one that ran, if both were on the machine unread
+    /// at a time. With marked repeats one of the two is marked; else they lie a wait of a caller apart.
+    fn may_have_run(&self, job: &Job, read: Time, marked: bool, apart: Span) -> bool {
+        self.kept.values().filter_map(|entry| entry.ran).any(|ran| {
+            ran.use_case == job.use_case
+                && ran.kept != read
+                && job.reached < ran.kept
+                && ran.reached < read
+                && (if marked { ran.again || job.again } else { job.reached.since(ran.reached) >= apart })
+        })
+    }
+}
+
+pub struct Control {
+    use_cases: Vec<UseCase>,
+    machine: Machine,
+    promises: Promises,
+    below: Below,
+    callers: Callers,
+    jobs: BTreeMap<JobId, InHand>,
+    fresh: Vec<JobId>,
+    entries: Entries,
+    gate: CallGate,
+    trial: RunTrial,
+    quotas: Quotas,
+    openness: Openness,
+    chance: Chance,
+    /// By use case: time on the cores, and time from start to end.
+    on_cores: Vec<Pace>,
+    whole: Vec<Pace>,
+    any: Pace,
+    unread: Pace,
+    tries: DecaySum,
+    tries_again: DecaySum,
+    shortest_goal: Span,
+    started: Option<Time>,
+    leaving: Option<(Time, Time)>,
+    orders: u64,
+    alarm: Option<(Time, u64)>,
+    alarms: u64,
+}
+
+/// Tells the module what came in; the events of a round, in order.
+pub struct Inflow<'a> {
+    control: &'a mut Control,
+    now: Time,
+}
+
+impl Inflow<'_> {
+    pub fn arrived(&mut self, job: Job) {
+        let (now, control) = (self.now, &mut *self.control);
+        let Some(case) = control.use_cases.get(job.use_case) else {
+            return;
+        };
+        control.unread.learn(now, now.since(job.reached));
+        control.tries.add(now, 1.0);
+        if job.again {
+            control.tries_again.add(now, 1.0);
+        } else if let Some(rate) = control.quotas.rates.get_mut(job.customer) {
+            rate.add(now, 1.0);
+        }
+        let due = job.waits_until.unwrap_or(job.reached + case.cut_off);
+        let goal = (job.reached + case.goal).min(due);
+        control.orders += 1;
+        let held = InHand {
+            order: control.orders,
+            stage: Stage::Held,
+            since: now,
+            read: now,
+            on_cores: Span::ZERO,
+            due,
+            goal,
+            answered: false,
+            ran: false,
+            call_tries: 0,
+            call_unsure: false,
+            job,
+        };
+        control.fresh.push(held.job.id.clone());
+        control.jobs.insert(held.job.id.clone(), held);
+    }
+
+    /// `took` is the time since the run started.
+    pub fn run_ended(&mut self, id: &JobId, outcome: Outcome, took: Span) {
+        let (now, control) = (self.now, &mut *self.control);
+        let Some(held) = control.jobs.get_mut(id) else {
+            return;
+        };
+        if outcome == Outcome::Stopped && !held.answered {
+            held.stage = Stage::Held;
+            held.since = now;
+            return;
+        }
+        let Some(mut held) = control.jobs.remove(id) else {
+            return;
+        };
+        match held.stage {
+            Stage::Queued => control.gate.queue.retain(|queued| queued != id),
+            Stage::Calling => control.gate.over(now, now.since(held.since), Some(control.below.linger)),
+            Stage::OnCores => held.on_cores += now.since(held.since),
+            Stage::Held | Stage::Sharing => return,
+        }
+        if outcome == Outcome::Completed {
+            let case = held.job.use_case;
+            if let (Some(mean), Some(all)) = (control.on_cores[case].mean(now), control.any.mean(now)) {
+                control.trial.ended((mean / all).clamp(0.1, 10.0));
+            }
+            control.on_cores[case].learn(now, held.on_cores);
+            control.whole[case].learn(now, took);
+            control.any.learn(now, held.on_cores);
+        }
+    }
+
+    pub fn at_call(&mut self, id: &JobId) {
+        let now = self.now;
+        if let Some(held) = self.control.jobs.get_mut(id).filter(|held| held.stage == Stage::OnCores) {
+            held.on_cores += now.since(held.since);
+            (held.stage, held.since) = (Stage::Queued, now);
+            self.control.fresh.push(id.clone());
+        }
+    }
+
+    pub fn call_ended(&mut self, id: &JobId, outcome: Outcome, took: Span) {
+        let (now, control) = (self.now, &mut *self.control);
+        let Some(held) = control.jobs.get_mut(id).filter(|held| held.stage == Stage::Calling) else {
+            return;
+        };
+        let linger = (outcome == Outcome::Overdue).then_some(control.below.linger);
+        control.gate.over(now, took, linger);
+        if !outcome.never_ran() {
+            control.gate.latency.learn(now, took);
+        }
+        held.since = now;
+        if outcome == Outcome::Completed {
+            held.stage = Stage::OnCores;
+            held.call_tries = 0;
+        } else {
+            held.stage = Stage::Queued;
+            held.call_unsure |= !outcome.never_ran();
+            control.fresh.push(id.clone());
+        }
+    }
+
+    pub fn caller_gone(&mut self, id: &JobId) {
+        let control = &mut *self.control;
+        let Some(held) = control.jobs.get_mut(id) else {
+            return;
+        };
+        held.answered = true;
+        control.gate.queue.retain(|queued| queued != id);
+        if !held.running() {
+            control.jobs.remove(id);
+        }
+    }
+
+    pub fn leaving(&mut self, stopped_at: Time) {
+        self.control.leaving.get_or_insert((self.now, stopped_at));
+    }
+
+    pub fn woke(&mut self, token: u64, _gauges: Gauges) {
+        if self.control.alarm.is_some_and(|(_, set)| set == token) {
+            self.control.alarm = None;
+        }
+    }
+}
+
+impl Control {
+    /// A server that has just started; it knows nothing but this.
+    pub fn new(
+        use_cases: Vec<UseCase>,
+        customers: Vec<Customer>,
+        machine: Machine,
+        promises: Promises,
+        below: Below,
+        callers: Callers,
+        chance: Chance,
+    ) -> Control {
+        let shortest_goal = use_cases.iter().map(|case| case.goal).min().unwrap_or(Span::from_ms(1000.0));
+        let fade = shortest_goal * MEMORY_IN_GOALS;
+        let paces = || use_cases.iter().map(|_| Pace::new(fade)).collect::<Vec<_>>();
+        Control {
+            on_cores: paces(),
+            whole: paces(),
+            any: Pace::new(fade),
+            unread: Pace::new(shortest_goal * WAIT_PART),
+            tries: DecaySum::new(fade),
+            tries_again: DecaySum::new(fade),
+            jobs: BTreeMap::new(),
+            fresh: Vec::new(),
+            entries: Entries::default(),
+            gate: CallGate {
+                share: below.share,
+                queue: VecDeque::new(),
+                in_hand: 0,
+                lingering: Vec::new(),
+                latency: Pace::new(fade),
+                closed_until: None,
+            },
+            trial: RunTrial {
+                limit: (machine.cores * 1.5).floor().max(1.0),
+                step: 1.0,
+                before: None,
+                done: 0.0,
+                busy: Span::ZERO,
+                checked: None,
+                jobs_wait: false,
+            },
+            quotas: Quotas {
+                rates: customers.iter().map(|_| DecaySum::new(fade)).collect(),
+                quotas: customers.iter().map(|customer| customer.quota).collect(),
+                beyond: callers.over_quota_part,
+                fleet: callers.fleet.max(1.0),
+                fade,
+            },
+            openness: Openness { open: 1.0, told: None, next: None },
+            chance,
+            shortest_goal,
+            started: None,
+            leaving: None,
+            orders: 0,
+            alarm: None,
+            alarms: 0,
+            use_cases,
+            machine,
+            promises,
+            below,
+            callers,
+        }
+    }
+
+    /// One batch: hears all that came in, then writes the decisions.
+    pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: &mut dyn Decisions) {
+        let first = self.started.is_none();
+        self.started.get_or_insert(now);
+        let was_leaving = self.leaving.is_some();
+        feed(&mut Inflow { control: self, now });
+        if first {
+            out.health(true, true);
+        }
+        if self.leaving.is_some() && !was_leaving {
+            out.health(false, true);
+        }
+        for id in std::mem::take(&mut self.fresh) {
+            match self.jobs.get(&id).map(|held| held.stage) {
+                Some(Stage::Held) => self.admit(now, &id, out),
+                Some(Stage::Queued) => self.meet_call(now, &id, out),
+                _ => {}
+            }
+        }
+        self.give_up_late(now, out);
+        self.make_calls(now, out);
+        self.run_held(now, out);
+        self.shed_memory(now, out);
+        self.speak(now, out);
+        self.set_alarm(now, out);
+    }
+
+    fn case(&self, held: &InHand) -> &UseCase {
+        &self.use_cases[held.job.use_case]
+    }
+
+    /// When an answer must go out at the latest, safely before it is due and before the process is stopped.
+    fn last_moment(&self, held: &InHand) -> Time {
+        let wait = held.due.since(held.job.reached);
+        let last = held.due - self.promises.answer_slack.min(wait * 0.1);
+        let stopped = self.leaving.map(|(_, stop)| stop - self.stop_margin());
+        stopped.map_or(last, |stop| last.min(stop))
+    }
+
+    /// Answers before a stop are out this much earlier: a pause of the process may fall there.
+    fn stop_margin(&self) -> Span {
+        (self.promises.drain_grace * 0.1).max(self.machine.tick * 4.0)
+    }
+
+    /// When an answer stops being worth anything.
+    fn useless_from(&self, held: &InHand) -> Time {
+        let last = self.last_moment(held);
+        if self.case(held).late_part > 0.0 { last } else { last.min(held.goal) }
+    }
+
+    /// The wait that the call queue's budget and depth go by.
+    fn call_wait(&self, now: Time, held: &InHand) -> Span {
+        held.job.waits_until.map_or(self.case(held).cut_off, |until| until.since(now))
+    }
+
+    /// Gives the final answer at once. A job that may have had an effect is written off; all else is
+    /// bounced, with when to come back.
+    fn give_up(&mut self, now: Time, id: &JobId, elsewhere: bool, back_in: Span, out: &mut dyn Decisions) {
+        let Some(held) = self.jobs.get_mut(id).filter(|held| !held.answered) else {
+            return;
+        };
+        held.answered = true;
+        let repeats = self.use_cases[held.job.use_case].repeats;
+        let bounced = repeats == Repeats::Reissuable || !(held.ran || held.stage == Stage::Sharing);
+        if bounced {
+            let crowded = self.tries_again.read(now) > 0.2 * self.tries.read(now);
+            let not_elsewhere = !elsewhere || held.job.again || crowded;
+            // Spread by chance, so that what was bounced together doesn't come back together.
+            let back_in = (back_in * (0.75 + 0.5 * self.chance.draw())).min(self.callers.longest_back_in);
+            out.bounce(id, not_elsewhere, back_in);
+        } else {
+            out.write_off(id);
+        }
+        if held.stage == Stage::Queued {
+            self.gate.queue.retain(|queued| queued != id);
+        }
+        if held.stage == Stage::OnCores
+            && repeats == Repeats::Reissuable
+            && self.machine.stopping != Stopping::Never
+        {
+            out.stop(id);
+        }
+        if !held.running() {
+            let linked = held.stage == Stage::Sharing;
+            self.jobs.remove(id);
+            if !linked && self.entries.kept.get(id).is_some_and(|entry| entry.ran.is_none()) {
+                self.entries.kept.remove(id);
+                out.forget(id);
+            }
+        }
+    }
+
+    /// A job that was just read: linked to the one it repeats, bounced while the call queue is full, or held.
+    fn admit(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
+        let Some(held) = self.jobs.get(id) else { return };
+        let (case, job) = (self.case(held).clone(), held.job.clone());
+        let read = held.read;
+        if case.repeats == Repeats::Numbered {
+            self.entries.kept.retain(|_, entry| entry.named_until > now);
+            let known = |prior: &JobId| self.entries.kept.contains_key(prior);
+            if job.repeats.as_ref().is_some_and(known) {
+                out.share(id);
+                if let Some(held) = self.jobs.get_mut(id) {
+                    held.stage = Stage::Sharing;
+                }
+                return;
+            }
+            let needed = (self.entries.alive(now) + 1) as f64 * self.machine.entry_kb + self.used_kb();
+            if needed > self.machine.memory_kb * RULE_ROOM {
+                return self.give_up(now, id, true, case.window, out);
+            }
+            // An entry lives from here until no repeat of a job that reached us when this one did is due.
+            let until = job.reached + case.window + self.machine.tick;
+            let span = until.since(now);
+            if span > Span::ZERO {
+                out.remember(id, span);
+            }
+            let named_until = until.max(now) + case.cut_off;
+            self.entries.kept.insert(id.clone(), Entry { until, named_until, ran: None });
+        }
+        if let Some((notice, _)) = self.leaving
+            && (job.reached > notice + self.promises.drain_grace
+                || read + self.expected(now, job.use_case) > self.last_moment(&self.jobs[id]))
+        {
+            return self.give_up(now, id, true, Span::ZERO, out);
+        }
+        let wait = self.call_wait(now, &self.jobs[id]);
+        if case.calls && self.gate.full(now, wait) {
+            let back_in = self.gate.back_in(now, wait);
+            self.give_up(now, id, false, back_in, out);
+        }
+    }
+
+    /// A running job that is at a call: it waits in the queue, or, when that is full, gets an error.
+    fn meet_call(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
+        let Some(held) = self.jobs.get(id).filter(|held| !held.answered) else {
+            return;
+        };
+        let wait = self.call_wait(now, held);
+        let once = self.case(held).repeats != Repeats::Reissuable && held.call_unsure;
+        if once || held.call_tries > 1 || self.gate.full(now, wait) {
+            self.no_call(now, id, out);
+        } else {
+            self.gate.queue.push_back(id.clone());
+        }
+    }
+
+    /// Exception to "gets an error": where leaving the call out still earns something, the job goes on.
+    fn no_call(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
+        let wait = self.jobs.get(id).map_or(Span::ZERO, |held| self.call_wait(now, held));
+        let back_in = self.gate.back_in(now, wait);
+        let Some(held) = self.jobs.get_mut(id) else { return };
+        if self.use_cases[held.job.use_case].part_without_call > 0.0 {
+            (held.stage, held.since, held.call_tries) = (Stage::OnCores, now, 0);
+            out.skip_call(id);
+        } else {
+            self.give_up(now, id, true, back_in, out);
+        }
+    }
+
+    fn give_up_late(&mut self, now: Time, out: &mut dyn Decisions) {
+        let late = |held: &InHand| !held.answered && self.useless_from(held) <= now;
+        let mut ids: Vec<JobId> =
+            self.jobs.values().filter(|held| late(held)).map(|h| h.job.id.clone()).collect();
+        ids.sort_by_key(|id| self.jobs[id].order);
+        for id in ids {
+            let back_in = self.hold_clears_in(now);
+            self.give_up(now, &id, self.leaving.is_some(), back_in, out);
+        }
+    }
+
+    fn make_calls(&mut self, now: Time, out: &mut dyn Decisions) {
+        while self.gate.may_call(now)
+            && !self.gate.queue.is_empty()
+            && self.crowd(Stage::Calling) < self.crowd_cap(now)
+        {
+            let Some(id) = self.gate.queue.pop_front() else {
+                break;
+            };
+            let Some(held) = self.jobs.get(&id).filter(|held| !held.answered) else {
+                continue;
+            };
+            let wait = self.call_wait(now, held);
+            let waited = now.since(held.since);
+            if waited > self.gate.budget(now, wait) {
+                self.no_call(now, &id, out);
+                continue;
+            }
+            let mut within = self.useless_from(held).since(now);
+            if let Some(share) = self.below.share.filter(|share| *share < 1.0) {
+                within = within.min((self.below.share_over * share).less(self.below.linger));
+            }
+            if let Some(held) = self.jobs.get_mut(&id) {
+                (held.stage, held.since) = (Stage::Calling, now);
+                held.call_tries += 1;
+            }
+            self.gate.in_hand += 1;
+            out.call(&id, within.max(self.machine.tick));
+        }
+    }
+
+    /// Jobs on the cores, and those whose calls may come back to them at any moment.
+    fn crowd(&self, or_in: Stage) -> f64 {
+        let counts = |held: &&InHand| held.stage == Stage::OnCores || held.stage == or_in;
+        self.jobs.values().filter(counts).count() as f64
+    }
+
+    /// The crowd that the cores are sure to live through, at the slowest warming that is promised.
+    fn crowd_cap(&self, now: Time) -> f64 {
+        let age = self.started.map_or(Span::ZERO, |start| now.since(start)) / self.promises.warm_up;
+        let speed = if self.machine.cold { self.promises.cold_from } else { 1.0 };
+        let speed = (speed + (1.0 - speed) * age).min(1.0);
+        self.machine.cores * (1.0 + (self.promises.crowd_per_core - 1.0) * speed) * RULE_ROOM
+    }
+
+    fn used_kb(&self) -> f64 {
+        self.jobs.values().map(|held| self.kb(held)).sum()
+    }
+
+    fn kb(&self, held: &InHand) -> f64 {
+        held.job.held_kb * if held.running() { self.machine.running_factor } else { 1.0 }
+    }
+
+    /// How much slower the jobs on the cores are than those that ended: seen before any of them ends.
+    fn stretch(&mut self, now: Time) -> f64 {
+        let Some(mean) = self.any.mean(now) else {
+            return 1.0;
+        };
+        let ages =
+            self.jobs.values().filter(|h| h.stage == Stage::OnCores).map(|h| h.on_cores + now.since(h.since));
+        let (count, total) = ages.fold((0.0, 0.0), |(n, sum), age| (n + 1.0, sum + age.as_ms()));
+        if count < self.machine.cores { 1.0 } else { (total / count / mean.as_ms().max(0.001)).max(1.0) }
+    }
+
+    /// From start to end of a run, as things go.
+    fn expected(&mut self, now: Time, case: usize) -> Span {
+        self.whole[case].mean(now).unwrap_or(Span::ZERO)
+    }
+
+    fn core_time(&mut self, now: Time, case: usize) -> Span {
+        self.on_cores[case].mean(now).or_else(|| self.any.mean(now)).unwrap_or(Span::from_ms(1.0))
+    }
+
+    fn hold_clears_in(&mut self, now: Time) -> Span {
+        let held = self.jobs.values().filter(|held| held.stage == Stage::Held).count() as f64;
+        let mean = self.any.mean(now).unwrap_or(Span::ZERO);
+        mean * (self.stretch(now) * held / self.trial.limit)
+    }
+
+    /// Runs the hold in the order of what it earns for its time on the cores. What can't be done by then is
+    /// given up now, so that its caller hears it while there is time to go elsewhere.
+    fn run_held(&mut self, now: Time, out: &mut dyn Decisions) {
+        let mut hold = Vec::new();
+        let ids: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|h| h.stage == Stage::Held && !h.answered)
+            .map(|h| h.job.id.clone())
+            .collect();
+        for id in ids {
+            let held = &self.jobs[&id];
+            let (use_case, customer, order) = (held.job.use_case, held.job.customer, held.order);
+            let late = if held.goal <= now { self.case(held).late_part } else { 1.0 };
+            let earns = self.case(held).earnings * late;
+            let value =
+                earns * self.quotas.part(now, customer) / self.core_time(now, use_case).as_ms().max(0.001);
+            hold.push((value, order, use_case, id));
+        }
+        hold.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let stretch = self.stretch(now);
+        let cap = self.crowd_cap(now);
+        let most = (self.machine.cores * 4.0).min(cap);
+        let least = self.machine.cores.min(most);
+        let mut on_cores = self.crowd(Stage::OnCores);
+        let mut crowd = self.crowd(Stage::Calling);
+        let mut memory = self.used_kb() + self.entries.alive(now) as f64 * self.machine.entry_kb;
+        let mut ahead = Span::ZERO;
+        let mut waiting = false;
+        for (_, _, use_case, id) in hold {
+            let held = &self.jobs[&id];
+            let numbered = self.case(held).repeats == Repeats::Numbered;
+            let needs = held.job.held_kb * (self.machine.running_factor - 1.0);
+            let calls = self.case(held).calls;
+            let wait = self.call_wait(now, held);
+            let room = on_cores < self.trial.limit
+                && crowd < cap
+                && memory + needs <= self.machine.memory_kb * RULE_ROOM
+                && !(calls && self.gate.full(now, wait));
+            if room {
+                let held = &self.jobs[&id];
+                let apart = self.case(held).cut_off * 0.05;
+                if numbered && self.entries.may_have_run(&held.job, held.read, self.callers.mark_again, apart)
+                {
+                    if let Some(held) = self.jobs.get_mut(&id) {
+                        held.ran = true;
+                    }
+                    self.give_up(now, &id, false, Span::ZERO, out);
+                    continue;
+                }
+                out.run(&id);
+                if let Some(held) = self.jobs.get_mut(&id) {
+                    (held.stage, held.since, held.ran) = (Stage::OnCores, now, true);
+                    let job = &held.job;
+                    if let Some(entry) = self.entries.kept.get_mut(&id) {
+                        let (reached, again) = (job.reached, job.again);
+                        entry.ran = Some(RanAt { use_case, reached, kept: held.read, again });
+                    }
+                }
+                on_cores += 1.0;
+                crowd += 1.0;
+                memory += needs;
+                continue;
+            }
+            waiting = true;
+            let core_time = self.core_time(now, use_case) * stretch;
+            ahead += core_time;
+            let done = now + ahead * (1.0 / self.trial.limit) + self.expected(now, use_case).max(core_time);
+            if done > self.useless_from(&self.jobs[&id]) {
+                let back_in = self.hold_clears_in(now);
+                self.give_up(now, &id, true, back_in, out);
+                ahead = ahead.less(core_time);
+            }
+        }
+        self.trial.settle(now, waiting, least, most);
+    }
+
+    /// Right after each batch, held and running jobs and entries must fit: the least earning goes first.
+    fn shed_memory(&mut self, now: Time, out: &mut dyn Decisions) {
+        let limit = self.machine.memory_kb * (1.0 + RULE_ROOM) / 2.0;
+        let entries = self.entries.alive(now) as f64 * self.machine.entry_kb;
+        let mut over = self.used_kb() + entries - limit;
+        if over <= 0.0 {
+            return;
+        }
+        let mut order: Vec<(bool, u64, JobId, f64)> = Vec::new();
+        for held in self.jobs.values().filter(|held| !held.answered) {
+            let stoppable = held.stage == Stage::OnCores && self.machine.stopping != Stopping::Never;
+            if !held.running() || stoppable && self.case(held).repeats == Repeats::Reissuable {
+                order.push((held.running(), u64::MAX - held.order, held.job.id.clone(), self.kb(held)));
+            }
+        }
+        order.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        for (_, _, id, kb) in order {
+            if over <= 0.0 {
+                break;
+            }
+            let back_in = self.hold_clears_in(now);
+            self.give_up(now, &id, true, back_in, out);
+            over -= kb;
+        }
+    }
+
+    /// Steers what is said to callers by how long a job waits here, unread and held, before it runs.
+    fn speak(&mut self, now: Time, out: &mut dyn Decisions) {
+        if self.openness.next.is_some_and(|next| now < next) {
+            return;
+        }
+        self.openness.next = Some(now + self.callers.heeded_for * 0.1);
+        let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
+        let wait = (self.hold_clears_in(now) + unread) / (self.shortest_goal * WAIT_PART);
+        self.openness.steer(wait);
+        let outstanding = 4.0 * self.trial.limit / self.callers.count.max(1.0);
+        let value = if self.leaving.is_some() && self.callers.signal == Signal::Weight {
+            Some(0.0)
+        } else {
+            self.openness.value(self.callers.signal, outstanding)
+        };
+        if let Some(value) = value.filter(|value| self.openness.told != Some(*value)) {
+            self.openness.told = Some(value);
+            out.say(value);
+        }
+    }
+
+    fn set_alarm(&mut self, now: Time, out: &mut dyn Decisions) {
+        let unanswered = self.jobs.values().filter(|held| !held.answered);
+        let mut next = unanswered.map(|held| self.useless_from(held)).min();
+        if !self.jobs.is_empty() {
+            next = next.into_iter().chain(self.openness.next).min();
+        }
+        if !self.gate.queue.is_empty() {
+            let gate = self
+                .gate
+                .lingering
+                .iter()
+                .copied()
+                .chain(self.gate.closed_until)
+                .filter(|at| *at > now)
+                .min();
+            next = next.into_iter().chain(gate).min();
+        }
+        let Some(next) = next.map(|next| next.max(now + self.machine.tick)) else {
+            return;
+        };
+        if self.alarm.is_none_or(|(at, _)| next < at) {
+            self.alarms += 1;
+            self.alarm = Some((next, self.alarms));
+            out.wake_at(next, self.alarms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade/src/desk.rs
@@ -0,0 +1,174 @@
+//! The interface of the module: what it is told about jobs and its surroundings, and the writer that takes
+//! its decisions. Nothing here decides.
+
+use crate::time::{Span, Time};
+use std::rc::Rc;
+
+/// A job's id, as the front end gave it.
+pub type JobId = Rc<str>;
+
+/// A job that has been read.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: JobId,
+    pub use_case: usize,
+    pub customer: usize,
+    /// When it reached the machine, which may be long before it was read.
+    pub reached: Time,
+    /// When its caller stops waiting, where callers tell.
+    pub waits_until: Option<Time>,
+    /// Memory it takes while held, in kilobytes.
+    pub held_kb: f64,
+    /// Its place by earnings among all jobs, from 0 up to less than 1.
+    pub rank: f64,
+    /// Known to be a further try or a second copy.
+    pub again: bool,
+    /// The job that this one repeats.
+    pub repeats: Option<JobId>,
+}
+
+/// May a job of a use case run again?
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Reissuable,
+    Numbered,
+    AtMostOnce,
+}
+
+#[derive(Clone, Debug)]
+pub struct UseCase {
+    pub goal: Span,
+    pub cut_off: Span,
+    pub earnings: f64,
+    /// Part of the earnings for an answer after the goal time.
+    pub late_part: f64,
+    pub repeats: Repeats,
+    /// How long after reaching the machine a numbered job may come again.
+    pub window: Span,
+    /// Its jobs may call what lies below.
+    pub calls: bool,
+    /// Part of the earnings when a call was left out; 0 where it must not be.
+    pub part_without_call: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// Jobs a second over the whole fleet that earn in full.
+    pub quota: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub cores: f64,
+    pub memory_kb: f64,
+    /// Memory of a running job over that of a held one.
+    pub running_factor: f64,
+    pub entry_kb: f64,
+    /// It started just now and is slow.
+    pub cold: bool,
+    pub stopping: Stopping,
+    /// The shortest time between rounds.
+    pub tick: Span,
+}
+
+/// What stopping a running job does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopping {
+    Never,
+    Drops,
+    Pauses,
+}
+
+/// The figures behind the rules.
+#[derive(Clone, Debug)]
+pub struct Promises {
+    pub answer_slack: Span,
+    pub cold_from: f64,
+    pub warm_up: Span,
+    pub drain_grace: Span,
+    /// Jobs a core that a warm machine lives through, in the mean of `crowd_over`.
+    pub crowd_per_core: f64,
+    pub crowd_over: Span,
+}
+
+/// What jobs call.
+#[derive(Clone, Debug)]
+pub struct Below {
+    /// Calls that this server may have there, in the mean of `share_over`, where it is told.
+    pub share: Option<f64>,
+    pub share_over: Span,
+    /// How long a call that was given up may stay there.
+    pub linger: Span,
+}
+
+/// What callers do with the value that is said to them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    Silent,
+    /// They send nothing ranked below it.
+    Level,
+    /// Each keeps no more than that many jobs out here.
+    Credit,
+    /// The chance that one does not pass this server by.
+    Weight,
+}
+
+#[derive(Clone, Debug)]
+pub struct Callers {
+    pub count: f64,
+    pub signal: Signal,
+    /// How long they keep a value in mind.
+    pub heeded_for: Span,
+    pub longest_back_in: Span,
+    pub mark_again: bool,
+    /// Servers beside this one, itself included, when it started.
+    pub fleet: f64,
+    /// Part of the earnings for a customer's jobs beyond its quota.
+    pub over_quota_part: f64,
+}
+
+/// How a run or a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Completed,
+    Errored,
+    /// Sent back unseen.
+    Full,
+    Overdue,
+    Unreachable,
+    Severed,
+    Stopped,
+    /// Nothing started: the job was over.
+    Moot,
+}
+
+impl Outcome {
+    /// It is certain that nothing ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::Moot)
+    }
+}
+
+/// What the machine tells of itself when a timer fires.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    pub core_use: Option<f64>,
+    pub on_cores: Option<f64>,
+}
+
+/// Takes the decisions of a round, in order.
+pub trait Decisions {
+    fn run(&mut self, id: &JobId);
+    fn bounce(&mut self, id: &JobId, not_elsewhere: bool, back_in: Span);
+    fn write_off(&mut self, id: &JobId);
+    fn call(&mut self, id: &JobId, within: Span);
+    fn skip_call(&mut self, id: &JobId);
+    fn stop(&mut self, id: &JobId);
+    fn share(&mut self, id: &JobId);
+    fn remember(&mut self, id: &JobId, span: Span);
+    fn forget(&mut self, id: &JobId);
+    fn say(&mut self, value: f64);
+    fn health(&mut self, good: bool, from_store: bool);
+    fn wake_at(&mut self, at: Time, token: u64);
+    fn note(&mut self, text: &str);
+}
--- /dev/null
+++ b/crates/hazelgrade/src/time.rs
@@ -0,0 +1,89 @@
+//! Points in time and spans between them, in whole microseconds, as two types that can't be mixed up.
+
+use std::ops::{Add, AddAssign, Div, Mul, Sub};
+
+/// A point on the clock that the caller of the library supplies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(i64);
+
+/// A length of time; never negative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(i64);
+
+fn micros(ms: f64) -> i64 {
+    (ms * 1000.0).round() as i64
+}
+
+impl Time {
+    pub fn from_ms(ms: f64) -> Time {
+        Time(micros(ms))
+    }
+
+    pub fn as_ms(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+
+    /// The span from `earlier` to this point; nothing if `earlier` is in fact later.
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0).max(0))
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub fn from_ms(ms: f64) -> Span {
+        Span(micros(ms).max(0))
+    }
+
+    pub fn as_ms(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+
+    /// This span without `other`, but not less than nothing.
+    pub fn less(self, other: Span) -> Span {
+        Span((self.0 - other.0).max(0))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Span {
+    fn add_assign(&mut self, other: Span) {
+        *self = *self + other;
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor).max(0.0) as i64)
+    }
+}
+
+/// How many times one span goes into another.
+impl Div for Span {
+    type Output = f64;
+    fn div(self, other: Span) -> f64 {
+        self.0 as f64 / other.0.max(1) as f64
+    }
+}
