Steer openness a quarter as fast

Cause: callers hear the value up to a second late, so steps of 30% swung between shut and wide open.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -233,7 +233,7 @@
 
 impl Openness {
     fn steer(&mut self, wait: f64) {
-        let factor = if wait > 1.0 { 1.0 - 0.3 * (wait - 1.0).min(1.0) } else { 1.0 + 0.15 * (1.0 - wait) };
+        let factor = if wait > 1.0 { 1.0 - 0.08 * (wait - 1.0).min(1.0) } else { 1.0 + 0.03 * (1.0 - wait) };
         self.open = (self.open * factor).clamp(0.02, 8.0);
     }
 
