--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -28,6 +28,8 @@
 const MEMORY_IN_GOALS: f64 = 2.0;
 /// Part of the shortest goal time that jobs may wait on average before surplus is kept away.
 const WAIT_PART: f64 = 0.15;
+/// Part of the shortest goal time that jobs may wait unread before fewer run.
+const UNREAD_PART: f64 = 0.1;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
@@ -234,7 +236,7 @@
 impl Openness {
     fn steer(&mut self, wait: f64) {
         let factor = if wait > 1.0 { 1.0 - 0.08 * (wait - 1.0).min(1.0) } else { 1.0 + 0.03 * (1.0 - wait) };
-        self.open = (self.open * factor).clamp(0.02, 8.0);
+        self.open = (self.open * factor).clamp(0.08, 8.0);
     }
 
     fn value(&self, signal: Signal, outstanding: f64) -> Option<f64> {
@@ -775,6 +777,11 @@
         hold.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let stretch = self.stretch(now);
         let cap = self.crowd_cap(now);
+        // Reading shares the cores with the runs. Jobs that wait unread can be neither bounced nor put in
+        // order, so the longer they wait the fewer run, down to half the cores. Guards against any cause of
+        // slow reading; it could hurt where reading is slow for a reason that runs don't share.
+        let unread = self.unread.mean(now).unwrap_or(Span::ZERO) / (self.shortest_goal * UNREAD_PART);
+        let limit = (self.trial.limit / unread.max(1.0)).max(self.machine.cores * 0.5).min(self.trial.limit);
         let most = (self.machine.cores * 4.0).min(cap);
         let least = self.machine.cores.min(most);
         let mut on_cores = self.crowd(Stage::OnCores);
@@ -788,7 +795,7 @@
             let needs = held.job.held_kb * (self.machine.running_factor - 1.0);
             let calls = self.case(held).calls;
             let wait = self.call_wait(now, held);
-            let room = on_cores < self.trial.limit
+            let room = on_cores < limit
                 && crowd < cap
                 && memory + needs <= self.machine.memory_kb * RULE_ROOM
                 && !(calls && self.gate.full(now, wait));
@@ -820,7 +827,7 @@
             waiting = true;
             let core_time = self.core_time(now, use_case) * stretch;
             ahead += core_time;
-            let done = now + ahead * (1.0 / self.trial.limit) + self.expected(now, use_case).max(core_time);
+            let done = now + ahead * (1.0 / limit) + self.expected(now, use_case).max(core_time);
             if done > self.useless_from(&self.jobs[&id]) {
                 let back_in = self.hold_clears_in(now);
                 self.give_up(now, &id, true, back_in, out);
