--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -23,6 +23,11 @@
 const UNTOLD_PERMITS: f64 = 8.0;
 /// Part of a limit of the rules that is used at most: what is read or comes back meanwhile needs the rest.
 const RULE_ROOM: f64 = 0.8;
+/// Exception to a fixed permit count: where no share is told, permits may grow to this many times the start;
+/// under a told share they never go past it.
+const MOST_PERMITS: f64 = 4.0 * UNTOLD_PERMITS;
+/// Calls that take this many times what they took at best show that what lies below is crowded.
+const CALLS_CROWDED: f64 = 2.0;
 /// What is learned fades over this many of the shortest goal times: long enough to hold some dozens of jobs,
 /// short enough to follow a trouble of some seconds.
 const MEMORY_IN_GOALS: f64 = 2.0;
@@ -90,6 +95,10 @@
 /// The design's semaphore and bounded queue before what lies below.
 struct CallGate {
     share: Option<f64>,
+    /// Calls that may be in hand; see `tune`.
+    permits: f64,
+    /// The lowest mean latency, drifting up so that a lasting change below is taken as it is.
+    best: Option<f64>,
     queue: VecDeque<JobId>,
     in_hand: usize,
     /// When calls that were given up have left what lies below.
@@ -101,7 +110,26 @@
 
 impl CallGate {
     fn permits(&self) -> f64 {
-        self.share.unwrap_or(UNTOLD_PERMITS).floor().max(1.0)
+        self.permits.floor().max(1.0)
+    }
+
+    /// A call went through. While jobs wait and calls take about what they take at best, the dependency has
+    /// room and the permits grow; while calls take much longer, they shrink to half the start at the least,
+    /// so that what lies below is not pushed further down by whatever made it slow.
+    fn tune(&mut self, now: Time) {
+        // A mean over fewer calls than the start of the permits is chance.
+        let start = self.share.unwrap_or(UNTOLD_PERMITS);
+        let enough = self.latency.count.read(now) >= start.max(UNTOLD_PERMITS);
+        let Some(mean) = self.latency.mean(now).map(Span::as_ms).filter(|_| enough) else { return };
+        let best = self.best.map_or(mean, |best| (best * (1.0 + 0.002 / self.permits)).min(mean));
+        self.best = Some(best);
+        let most = self.share.unwrap_or(MOST_PERMITS);
+        if mean > best * CALLS_CROWDED {
+            self.permits -= 0.5 / self.permits;
+        } else if !self.queue.is_empty() && mean < best * (1.0 + CALLS_CROWDED) / 2.0 {
+            self.permits += 1.0 / self.permits;
+        }
+        self.permits = self.permits.clamp((start / 2.0).min(most), most);
     }
 
     fn in_use(&self) -> f64 {
@@ -112,7 +140,7 @@
     /// clock, so that a pause of the process or idleness doesn't shrink it.
     fn drain(&mut self, now: Time) -> Option<f64> {
         let latency = self.latency.mean(now)?;
-        Some(self.share.unwrap_or(UNTOLD_PERMITS) * 1000.0 / latency.as_ms().max(0.001))
+        Some(self.permits * 1000.0 / latency.as_ms().max(0.001))
     }
 
     fn budget(&mut self, now: Time, wait: Span) -> Span {
@@ -407,6 +435,7 @@
         control.gate.over(now, took, linger);
         if !outcome.never_ran() {
             control.gate.latency.learn(now, took);
+            control.gate.tune(now);
         }
         held.since = now;
         if outcome == Outcome::Completed {
@@ -468,6 +497,8 @@
             entries: Entries::default(),
             gate: CallGate {
                 share: below.share,
+                permits: below.share.unwrap_or(UNTOLD_PERMITS),
+                best: None,
                 queue: VecDeque::new(),
                 in_hand: 0,
                 lingering: Vec::new(),
