Openness: no wind-up past 1, slower sum, and a part that follows the wait at once

Cause: after calm minutes the weight had wound up to 8 and took seconds to fall below 1, while a slowed server's arrivals lay unread for three to five seconds.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -262,17 +262,18 @@
 }
 
 impl Openness {
-    fn steer(&mut self, wait: f64) {
-        let factor = if wait > 1.0 { 1.0 - 0.08 * (wait - 1.0).min(1.0) } else { 1.0 + 0.03 * (1.0 - wait) };
-        self.open = (self.open * factor).clamp(0.08, 8.0);
+    fn steer(&mut self, wait: f64, most: f64) {
+        let factor = if wait > 1.0 { 1.0 - 0.04 * (wait - 1.0).min(1.0) } else { 1.0 + 0.03 * (1.0 - wait) };
+        self.open = (self.open * factor).clamp(0.08, most);
     }
 
-    fn value(&self, signal: Signal, outstanding: f64) -> Option<f64> {
+    fn value(&self, signal: Signal, outstanding: f64, wait: f64) -> Option<f64> {
+        let open = self.open / wait.max(1.0).sqrt();
         match signal {
             Signal::Silent => None,
-            Signal::Weight => Some(self.open.min(1.0)),
-            Signal::Credit => Some(self.open * outstanding),
-            Signal::Level => Some((1.0 - self.open).max(0.0)),
+            Signal::Weight => Some(open.min(1.0)),
+            Signal::Credit => Some(open * outstanding),
+            Signal::Level => Some((1.0 - open).max(0.0)),
         }
     }
 }
@@ -902,12 +903,13 @@
         self.openness.next = Some(now + self.callers.heeded_for * 0.1);
         let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
         let wait = (self.hold_clears_in(now) + unread) / (self.shortest_goal * WAIT_PART);
-        self.openness.steer(wait);
+        // Only a credit means anything above 1; the others would just be late to close.
+        self.openness.steer(wait, if self.callers.signal == Signal::Credit { 8.0 } else { 1.0 });
         let outstanding = 4.0 * self.trial.limit / self.callers.count.max(1.0);
         let value = if self.leaving.is_some() && self.callers.signal == Signal::Weight {
             Some(0.0)
         } else {
-            self.openness.value(self.callers.signal, outstanding)
+            self.openness.value(self.callers.signal, outstanding, wait)
         };
         if let Some(value) = value.filter(|value| self.openness.told != Some(*value)) {
             self.openness.told = Some(value);
