Bounce a job at once when the hold would keep it over 0.3 of its goal time

Cause: long holds meet the callers' own time-outs, and a job that could run elsewhere hears it too late.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -35,6 +35,8 @@
 const WAIT_PART: f64 = 0.15;
 /// Part of the shortest goal time that jobs may wait unread before fewer run.
 const UNREAD_PART: f64 = 0.1;
+/// Part of its goal time that a job may wait in the hold: one that would wait longer is better off elsewhere.
+const HOLD_PART: f64 = 0.3;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
@@ -860,7 +862,8 @@
             let core_time = self.core_time(now, use_case) * stretch;
             ahead += core_time;
             let done = now + ahead * (1.0 / limit) + self.expected(now, use_case).max(core_time);
-            if done > self.useless_from(&self.jobs[&id]) {
+            let patience = self.use_cases[use_case].goal * HOLD_PART;
+            if done > self.useless_from(&self.jobs[&id]) || ahead * (1.0 / limit) > patience {
                 let back_in = self.hold_clears_in(now);
                 self.give_up(now, &id, true, back_in, out);
                 ahead = ahead.less(core_time);
