Count calls as crowded at four times their best, not twice

Cause: the means of calls swing between 160 and 330 ms by chance, so servers with a low best sat at four permits with queues of 14 to 30 calls while the tier below had room.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -27,7 +27,7 @@
 /// under a told share they never go past it.
 const MOST_PERMITS: f64 = 4.0 * UNTOLD_PERMITS;
 /// Calls that take this many times what they took at best show that what lies below is crowded.
-const CALLS_CROWDED: f64 = 2.0;
+const CALLS_CROWDED: f64 = 4.0;
 /// What is learned fades over this many of the shortest goal times: long enough to hold some dozens of jobs,
 /// short enough to follow a trouble of some seconds.
 const MEMORY_IN_GOALS: f64 = 2.0;
