--- a/crates/hazelgrade-wirehost/src/wire.rs
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -136,9 +136,9 @@
         }
         "timeout_fired" => {
             let token = fields.whole("cookie")?;
-            let gauges = gauges(fields.text("serverStats")?)?;
+            gauges(fields.text("serverStats")?)?;
             fields.end()?;
-            inflow.woke(token, gauges);
+            inflow.woke(token);
         }
         _ => return fault("message", "a known message name"),
     }
@@ -164,7 +164,7 @@
     }
     fields.text("affinity")?;
     let expires = fields.number("expires", f64::MIN, Some(0.0))?;
-    fields.number("costGuess", 0.0, Some(0.0))?;
+    let cost = fields.number("costGuess", 0.0, Some(0.0))?;
     let held_kb = fields.number("sizeKb", 0.0, Some(0.0))?;
     let rank = fields.number("standing", 0.0, Some(0.0))?;
     if rank >= 1.0 {
@@ -182,25 +182,18 @@
     };
     let waits_until = (expires != 0.0).then(|| Time::from_ms(expires));
     let again = bits & 2 != 0;
-    Ok(Job { id, use_case, customer, reached: now - lay, waits_until, held_kb, rank, again, repeats })
+    let work = (bits & 1 != 0).then(|| Span::from_ms(cost));
+    Ok(Job { id, use_case, customer, reached: now - lay, waits_until, work, held_kb, rank, again, repeats })
 }
 
-fn gauges(text: &str) -> Result<Gauges, Fault> {
-    let mut gauges = Gauges::default();
+/// The gauges are checked for their form; no decision goes by them.
+fn gauges(text: &str) -> Result<(), Fault> {
     for pair in text.split(',').filter(|pair| !matches!(*pair, "" | "-")) {
-        let Some((name, value)) = pair.split_once(':') else {
-            return fault("serverStats", "name:value pairs");
-        };
-        let Ok(value) = value.parse::<f64>() else {
-            return fault("serverStats", "a number after the colon");
-        };
-        match name {
-            "core_use" => gauges.core_use = Some(value),
-            "on_cores" => gauges.on_cores = Some(value),
-            _ => {}
+        if pair.split_once(':').is_none_or(|(_, value)| value.parse::<f64>().is_err()) {
+            return fault("serverStats", "name:value pairs with numbers for values");
         }
     }
-    Ok(gauges)
+    Ok(())
 }
 
 /// A part of the settings, with the path to it for messages.
@@ -277,6 +270,7 @@
         let cut_off = part.number("giveUp", 0.0)?;
         use_cases.push(UseCase {
             goal: part.span("aim", cut_off)?,
+            goal_per_work: part.number("aimStretch", 0.0)?,
             cut_off: Span::from_ms(cut_off),
             earnings: part.number("gain", 1.0)?,
             late_part: part.number("lateWorth", 0.0)?,
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -8,13 +8,13 @@
 //! bounces at arrival. Beside it stand six mechanisms:
 //! 1. `RunTrial`: how many jobs run at once is tried out, within what the crowd rule allows.
 //! 2. The hold goes by earnings for time on the cores; what can't be in time any more is answered at once.
-//! 3. `Quotas`: a customer's jobs beyond its quota count for less in that order.
+//! 3. `part_in_quota`: a customer's jobs beyond its quota count for less in that order.
 //! 4. `Openness`: surplus is kept away by the value said to callers, by back-in times and "not elsewhere".
 //! 5. A job whose call can't be made goes on without it, where that still earns something.
 //! 6. The rules' guards: cut-off, drain, memory, crowd, and `Entries` for numbered jobs.
 
 use crate::chance::Chance;
-use crate::decay::DecaySum;
+use crate::decay::{DecaySum, Pace};
 use crate::desk::*;
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -54,7 +54,6 @@
     stage: Stage,
     /// When the stage began.
     since: Time,
-    read: Time,
     on_cores: Span,
     due: Time,
     goal: Time,
@@ -71,29 +70,6 @@
     }
 }
 
-/// Mean of a length of time, over what ended lately.
-struct Pace {
-    total: DecaySum,
-    count: DecaySum,
-}
-
-impl Pace {
-    fn new(fade: Span) -> Pace {
-        Pace { total: DecaySum::new(fade), count: DecaySum::new(fade) }
-    }
-
-    fn learn(&mut self, now: Time, span: Span) {
-        self.total.add(now, span.as_ms());
-        self.count.add(now, 1.0);
-    }
-
-    /// Nothing before the first sample; after idleness the last mean still stands.
-    fn mean(&mut self, now: Time) -> Option<Span> {
-        let (total, count) = (self.total.read(now), self.count.read(now));
-        (count > f64::MIN_POSITIVE).then(|| Span::from_ms(total / count))
-    }
-}
-
 /// The design's semaphore and bounded queue before what lies below.
 struct CallGate {
     share: Option<f64>,
@@ -121,7 +97,7 @@
     fn tune(&mut self, now: Time) {
         // A mean over fewer calls than the start of the permits is chance.
         let start = self.share.unwrap_or(UNTOLD_PERMITS);
-        let enough = self.latency.count.read(now) >= start.max(UNTOLD_PERMITS);
+        let enough = self.latency.count(now) >= start.max(UNTOLD_PERMITS);
         let Some(mean) = self.latency.mean(now).map(Span::as_ms).filter(|_| enough) else { return };
         let best = self.best.map_or(mean, |best| (best * (1.0 + 0.002 / self.permits)).min(mean));
         self.best = Some(best);
@@ -134,10 +110,6 @@
         self.permits = self.permits.clamp((start / 2.0).min(most), most);
     }
 
-    fn in_use(&self) -> f64 {
-        (self.in_hand + self.lingering.len()) as f64
-    }
-
     /// Calls a second that leave what lies below: from the time that calls take, not from counts over the
     /// clock, so that a pause of the process or idleness doesn't shrink it.
     fn drain(&mut self, now: Time) -> Option<f64> {
@@ -158,15 +130,15 @@
         self.queue.len() as f64 >= self.depth(now, wait)
     }
 
-    /// Depth over drain rate.
+    /// Depth over drain rate: the budget that the depth was made of.
     fn back_in(&mut self, now: Time, wait: Span) -> Span {
-        let depth = self.depth(now, wait);
-        self.drain(now).map_or(wait, |rate| Span::from_ms(depth * 1000.0 / rate))
+        self.budget(now, wait)
     }
 
     fn may_call(&mut self, now: Time) -> bool {
         self.lingering.retain(|until| *until > now);
-        self.closed_until.is_none_or(|until| until <= now) && self.in_use() < self.permits()
+        self.closed_until.is_none_or(|until| until <= now)
+            && ((self.in_hand + self.lingering.len()) as f64) < self.permits()
     }
 
     /// A call is over, or given up and lingering below. A permit of a part share rests in proportion.
@@ -184,6 +156,7 @@
 }
 
 /// How many jobs run at once: a step up or down, kept if more gets done while jobs wait.
+#[derive(Default)]
 struct RunTrial {
     limit: f64,
     step: f64,
@@ -234,26 +207,9 @@
 }
 
 /// What part of a customer's jobs earns in full, by its rate here against its quota over the fleet.
-struct Quotas {
-    rates: Vec<DecaySum>,
-    quotas: Vec<f64>,
-    beyond: f64,
-    fleet: f64,
-    fade: Span,
-}
-
-impl Quotas {
-    fn part(&mut self, now: Time, customer: usize) -> f64 {
-        let (Some(rate), Some(quota)) = (self.rates.get_mut(customer), self.quotas.get(customer)) else {
-            return 1.0;
-        };
-        let over_fleet = rate.read(now) * self.fleet * 1000.0 / self.fade.as_ms();
-        if over_fleet <= *quota {
-            return 1.0;
-        }
-        let within = quota / over_fleet;
-        within + (1.0 - within) * self.beyond
-    }
+fn part_in_quota(rate_here: f64, fleet: f64, quota: f64, beyond: f64) -> f64 {
+    let within = (quota / (rate_here * fleet).max(f64::MIN_POSITIVE)).min(1.0);
+    within + (1.0 - within) * beyond
 }
 
 /// The value said to callers: closed fast when jobs wait too long, opened slowly when they don't.
@@ -264,18 +220,17 @@
 }
 
 impl Openness {
-    fn steer(&mut self, wait: f64, most: f64) {
+    fn steer(&mut self, wait: f64, signal: Signal, outstanding: f64) -> Option<f64> {
+        // Only a credit means anything above 1; the others would just be late to close.
+        let most = if signal == Signal::Credit { 8.0 } else { 1.0 };
         let factor = if wait > 1.0 { 1.0 - 0.04 * (wait - 1.0).min(1.0) } else { 1.0 + 0.03 * (1.0 - wait) };
         self.open = (self.open * factor).clamp(0.08, most);
-    }
-
-    fn value(&self, signal: Signal, outstanding: f64, wait: f64) -> Option<f64> {
         let open = self.open / wait.max(1.0).sqrt();
         match signal {
             Signal::Silent => None,
-            Signal::Weight => Some(open.min(1.0)),
+            Signal::Weight => Some(open),
             Signal::Credit => Some(open * outstanding),
-            Signal::Level => Some((1.0 - open).max(0.0)),
+            Signal::Level => Some(1.0 - open),
         }
     }
 }
@@ -290,16 +245,12 @@
     until: Time,
     /// Read later than `until`, a repeat may still name this job.
     named_until: Time,
-    ran: Option<RanAt>,
-}
-
-/// When a numbered job that ran reached the machine and got its entry: repeats that came in between are blind.
-#[derive(Clone, Copy)]
-struct RanAt {
     use_case: usize,
+    /// Reached the machine, and got its entry: repeats that came in between are blind.
     reached: Time,
     kept: Time,
     again: bool,
+    ran: bool,
 }
 
 impl Entries {
@@ -310,7 +261,7 @@
     /// A numbered job that no entry links may still repeat one that ran, if both were on the machine unread
     /// at a time. With marked repeats one of the two is marked; else they lie a wait of a caller apart.
     fn may_have_run(&self, job: &Job, read: Time, marked: bool, apart: Span) -> bool {
-        self.kept.values().filter_map(|entry| entry.ran).any(|ran| {
+        self.kept.values().filter(|entry| entry.ran).any(|ran| {
             ran.use_case == job.use_case
                 && ran.kept != read
                 && job.reached < ran.kept
@@ -331,7 +282,8 @@
     entries: Entries,
     gate: CallGate,
     trial: RunTrial,
-    quotas: Quotas,
+    /// By customer: its first tries, and its quota a second over the fleet.
+    quotas: Vec<(DecaySum, f64)>,
     openness: Openness,
     chance: Chance,
     /// By use case: time on the cores, and time from start to end.
@@ -342,7 +294,10 @@
     tries: DecaySum,
     tries_again: DecaySum,
     shortest_goal: Span,
+    fade: Span,
     started: Option<Time>,
+    told_good: Option<bool>,
+    /// When the notice came, and when the process is stopped.
     leaving: Option<(Time, Time)>,
     orders: u64,
     alarm: Option<(Time, u64)>,
@@ -358,24 +313,22 @@
 impl Inflow<'_> {
     pub fn arrived(&mut self, job: Job) {
         let (now, control) = (self.now, &mut *self.control);
-        let Some(case) = control.use_cases.get(job.use_case) else {
-            return;
-        };
+        let Some(case) = control.use_cases.get(job.use_case) else { return };
         control.unread.learn(now, now.since(job.reached));
         control.tries.add(now, 1.0);
         if job.again {
             control.tries_again.add(now, 1.0);
-        } else if let Some(rate) = control.quotas.rates.get_mut(job.customer) {
+        } else if let Some((rate, _)) = control.quotas.get_mut(job.customer) {
             rate.add(now, 1.0);
         }
         let due = job.waits_until.unwrap_or(job.reached + case.cut_off);
-        let goal = (job.reached + case.goal).min(due);
+        let stretched = job.work.map_or(Span::ZERO, |work| work * case.goal_per_work);
+        let goal = (job.reached + case.goal + stretched).min(due);
         control.orders += 1;
         let held = InHand {
             order: control.orders,
             stage: Stage::Held,
             since: now,
-            read: now,
             on_cores: Span::ZERO,
             due,
             goal,
@@ -392,23 +345,18 @@
     /// `took` is the time since the run started.
     pub fn run_ended(&mut self, id: &JobId, outcome: Outcome, took: Span) {
         let (now, control) = (self.now, &mut *self.control);
-        let Some(held) = control.jobs.get_mut(id) else {
-            return;
-        };
-        if outcome == Outcome::Stopped && !held.answered {
-            held.stage = Stage::Held;
-            held.since = now;
-            return;
-        }
-        let Some(mut held) = control.jobs.remove(id) else {
-            return;
-        };
+        let Some(mut held) = control.jobs.remove(id) else { return };
         match held.stage {
             Stage::Queued => control.gate.queue.retain(|queued| queued != id),
             Stage::Calling => control.gate.over(now, now.since(held.since), Some(control.below.linger)),
             Stage::OnCores => held.on_cores += now.since(held.since),
             Stage::Held | Stage::Sharing => return,
         }
+        if outcome == Outcome::Stopped && !held.answered {
+            (held.stage, held.since) = (Stage::Held, now);
+            control.jobs.insert(id.clone(), held);
+            return;
+        }
         if outcome == Outcome::Completed {
             let case = held.job.use_case;
             if let (Some(mean), Some(all)) = (control.on_cores[case].mean(now), control.any.mean(now)) {
@@ -431,9 +379,7 @@
 
     pub fn call_ended(&mut self, id: &JobId, outcome: Outcome, took: Span) {
         let (now, control) = (self.now, &mut *self.control);
-        let Some(held) = control.jobs.get_mut(id).filter(|held| held.stage == Stage::Calling) else {
-            return;
-        };
+        let Some(held) = control.jobs.get_mut(id).filter(|held| held.stage == Stage::Calling) else { return };
         let linger = (outcome == Outcome::Overdue).then_some(control.below.linger);
         control.gate.over(now, took, linger);
         if !outcome.never_ran() {
@@ -453,12 +399,12 @@
 
     pub fn caller_gone(&mut self, id: &JobId) {
         let control = &mut *self.control;
-        let Some(held) = control.jobs.get_mut(id) else {
-            return;
-        };
+        let Some(held) = control.jobs.get_mut(id) else { return };
         held.answered = true;
         control.gate.queue.retain(|queued| queued != id);
-        if !held.running() {
+        if held.running() {
+            control.fresh.push(id.clone());
+        } else {
             control.jobs.remove(id);
         }
     }
@@ -467,7 +413,7 @@
         self.control.leaving.get_or_insert((self.now, stopped_at));
     }
 
-    pub fn woke(&mut self, token: u64, _gauges: Gauges) {
+    pub fn woke(&mut self, token: u64) {
         if self.control.alarm.is_some_and(|(_, set)| set == token) {
             self.control.alarm = None;
         }
@@ -511,23 +457,15 @@
             trial: RunTrial {
                 limit: (machine.cores * 1.5).floor().max(1.0),
                 step: 1.0,
-                before: None,
-                done: 0.0,
-                busy: Span::ZERO,
-                checked: None,
-                jobs_wait: false,
-            },
-            quotas: Quotas {
-                rates: customers.iter().map(|_| DecaySum::new(fade)).collect(),
-                quotas: customers.iter().map(|customer| customer.quota).collect(),
-                beyond: callers.over_quota_part,
-                fleet: callers.fleet.max(1.0),
-                fade,
+                ..RunTrial::default()
             },
+            quotas: customers.iter().map(|customer| (DecaySum::new(fade), customer.quota)).collect(),
             openness: Openness { open: 1.0, told: None, next: None },
             chance,
             shortest_goal,
+            fade,
             started: None,
+            told_good: None,
             leaving: None,
             orders: 0,
             alarm: None,
@@ -542,20 +480,17 @@
 
     /// One batch: hears all that came in, then writes the decisions.
     pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: &mut dyn Decisions) {
-        let first = self.started.is_none();
         self.started.get_or_insert(now);
-        let was_leaving = self.leaving.is_some();
         feed(&mut Inflow { control: self, now });
-        if first {
-            out.health(true, true);
-        }
-        if self.leaving.is_some() && !was_leaving {
-            out.health(false, true);
+        let good = self.leaving.is_none();
+        if self.told_good.replace(good) != Some(good) {
+            out.health(good, true);
         }
         for id in std::mem::take(&mut self.fresh) {
             match self.jobs.get(&id).map(|held| held.stage) {
                 Some(Stage::Held) => self.admit(now, &id, out),
                 Some(Stage::Queued) => self.meet_call(now, &id, out),
+                Some(Stage::OnCores) => self.stop_unwanted(&id, out),
                 _ => {}
             }
         }
@@ -598,13 +533,11 @@
     /// Gives the final answer at once. A job that may have had an effect is written off; all else is
     /// bounced, with when to come back.
     fn give_up(&mut self, now: Time, id: &JobId, elsewhere: bool, back_in: Span, out: &mut dyn Decisions) {
-        let Some(held) = self.jobs.get_mut(id).filter(|held| !held.answered) else {
-            return;
-        };
+        let Some(held) = self.jobs.get_mut(id).filter(|held| !held.answered) else { return };
         held.answered = true;
         let repeats = self.use_cases[held.job.use_case].repeats;
-        let bounced = repeats == Repeats::Reissuable || !(held.ran || held.stage == Stage::Sharing);
-        if bounced {
+        // A job that names another may repeat one that ran.
+        if repeats == Repeats::Reissuable || !(held.ran || held.job.repeats.is_some()) {
             let crowded = self.tries_again.read(now) > 0.2 * self.tries.read(now);
             let not_elsewhere = !elsewhere || held.job.again || crowded;
             // Spread by chance, so that what was bounced together doesn't come back together.
@@ -616,39 +549,44 @@
         if held.stage == Stage::Queued {
             self.gate.queue.retain(|queued| queued != id);
         }
-        if held.stage == Stage::OnCores
-            && repeats == Repeats::Reissuable
-            && self.machine.stopping != Stopping::Never
-        {
-            out.stop(id);
-        }
-        if !held.running() {
-            let linked = held.stage == Stage::Sharing;
+        self.stop_unwanted(id, out);
+        if self.jobs.get(id).is_some_and(|held| !held.running()) {
             self.jobs.remove(id);
-            if !linked && self.entries.kept.get(id).is_some_and(|entry| entry.ran.is_none()) {
+            if self.entries.kept.get(id).is_some_and(|entry| !entry.ran) {
                 self.entries.kept.remove(id);
                 out.forget(id);
             }
         }
     }
 
+    /// A run that nobody waits for is stopped, where that is allowed and the job may run again.
+    fn stop_unwanted(&self, id: &JobId, out: &mut dyn Decisions) {
+        let unwanted = |held: &&InHand| {
+            held.answered && held.stage == Stage::OnCores && self.case(held).repeats == Repeats::Reissuable
+        };
+        if self.machine.stopping != Stopping::Never && self.jobs.get(id).filter(unwanted).is_some() {
+            out.stop(id);
+        }
+    }
+
     /// A job that was just read: linked to the one it repeats, bounced while the call queue is full, or held.
     fn admit(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
         let Some(held) = self.jobs.get(id) else { return };
         let (case, job) = (self.case(held).clone(), held.job.clone());
-        let read = held.read;
+        let read = held.since;
         if case.repeats == Repeats::Numbered {
             self.entries.kept.retain(|_, entry| entry.named_until > now);
-            let known = |prior: &JobId| self.entries.kept.contains_key(prior);
-            if job.repeats.as_ref().is_some_and(known) {
+            // Two that came in one batch name each other: the first of them has no entry yet and stands.
+            let stands =
+                |prior: &JobId| self.entries.kept.contains_key(prior) || !self.jobs.contains_key(prior);
+            if job.repeats.as_ref().is_some_and(stands) {
                 out.share(id);
                 if let Some(held) = self.jobs.get_mut(id) {
                     held.stage = Stage::Sharing;
                 }
                 return;
             }
-            let needed = (self.entries.alive(now) + 1) as f64 * self.machine.entry_kb + self.used_kb();
-            if needed > self.machine.memory_kb * RULE_ROOM {
+            if self.used_kb(now) + self.machine.entry_kb > self.machine.memory_kb * RULE_ROOM {
                 return self.give_up(now, id, true, case.window, out);
             }
             // An entry lives from here until no repeat of a job that reached us when this one did is due.
@@ -658,7 +596,9 @@
                 out.remember(id, span);
             }
             let named_until = until.max(now) + case.cut_off;
-            self.entries.kept.insert(id.clone(), Entry { until, named_until, ran: None });
+            let (use_case, reached, kept, again) = (job.use_case, job.reached, read, job.again);
+            let entry = Entry { until, named_until, use_case, reached, kept, again, ran: false };
+            self.entries.kept.insert(id.clone(), entry);
         }
         if let Some((notice, _)) = self.leaving
             && (job.reached > notice + self.promises.drain_grace
@@ -675,9 +615,7 @@
 
     /// A running job that is at a call: it waits in the queue, or, when that is full, gets an error.
     fn meet_call(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
-        let Some(held) = self.jobs.get(id).filter(|held| !held.answered) else {
-            return;
-        };
+        let Some(held) = self.jobs.get(id).filter(|held| !held.answered) else { return };
         let wait = self.call_wait(now, held);
         let once = self.case(held).repeats != Repeats::Reissuable && held.call_unsure;
         if once || held.call_tries > 1 || self.gate.full(now, wait) {
@@ -691,8 +629,9 @@
     fn no_call(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
         let wait = self.jobs.get(id).map_or(Span::ZERO, |held| self.call_wait(now, held));
         let back_in = self.gate.back_in(now, wait);
+        let room = self.crowd(Stage::Calling) < self.crowd_cap(now);
         let Some(held) = self.jobs.get_mut(id) else { return };
-        if self.use_cases[held.job.use_case].part_without_call > 0.0 {
+        if self.use_cases[held.job.use_case].part_without_call > 0.0 && room {
             (held.stage, held.since, held.call_tries) = (Stage::OnCores, now, 0);
             out.skip_call(id);
         } else {
@@ -700,30 +639,26 @@
         }
     }
 
+    /// The unanswered jobs that `which` picks, in the order they were read.
+    fn pick(&self, which: impl Fn(&InHand) -> bool) -> Vec<JobId> {
+        let picked = self.jobs.values().filter(|held| !held.answered && which(held));
+        let mut picked: Vec<&InHand> = picked.collect();
+        picked.sort_by_key(|held| held.order);
+        picked.into_iter().map(|held| held.job.id.clone()).collect()
+    }
+
     fn give_up_late(&mut self, now: Time, out: &mut dyn Decisions) {
-        let late = |held: &InHand| !held.answered && self.useless_from(held) <= now;
-        let mut ids: Vec<JobId> =
-            self.jobs.values().filter(|held| late(held)).map(|h| h.job.id.clone()).collect();
-        ids.sort_by_key(|id| self.jobs[id].order);
-        for id in ids {
+        for id in self.pick(|held| self.useless_from(held) <= now) {
             let back_in = self.hold_clears_in(now);
             self.give_up(now, &id, self.leaving.is_some(), back_in, out);
         }
     }
 
     fn make_calls(&mut self, now: Time, out: &mut dyn Decisions) {
-        while self.gate.may_call(now)
-            && !self.gate.queue.is_empty()
-            && self.crowd(Stage::Calling) < self.crowd_cap(now)
-        {
-            let Some(id) = self.gate.queue.pop_front() else {
-                break;
-            };
-            let Some(held) = self.jobs.get(&id).filter(|held| !held.answered) else {
-                continue;
-            };
-            let wait = self.call_wait(now, held);
-            let waited = now.since(held.since);
+        while self.gate.may_call(now) && self.crowd(Stage::Calling) < self.crowd_cap(now) {
+            let Some(id) = self.gate.queue.pop_front() else { break };
+            let Some(held) = self.jobs.get(&id).filter(|held| !held.answered) else { continue };
+            let (wait, waited) = (self.call_wait(now, held), now.since(held.since));
             if waited > self.gate.budget(now, wait) {
                 self.no_call(now, &id, out);
                 continue;
@@ -755,8 +690,9 @@
         self.machine.cores * (1.0 + (self.promises.crowd_per_core - 1.0) * speed) * RULE_ROOM
     }
 
-    fn used_kb(&self) -> f64 {
-        self.jobs.values().map(|held| self.kb(held)).sum()
+    fn used_kb(&self, now: Time) -> f64 {
+        let entries = self.entries.alive(now) as f64 * self.machine.entry_kb;
+        self.jobs.values().map(|held| self.kb(held)).sum::<f64>() + entries
     }
 
     fn kb(&self, held: &InHand) -> f64 {
@@ -765,9 +701,7 @@
 
     /// How much slower the jobs on the cores are than those that ended: seen before any of them ends.
     fn stretch(&mut self, now: Time) -> f64 {
-        let Some(mean) = self.any.mean(now) else {
-            return 1.0;
-        };
+        let Some(mean) = self.any.mean(now) else { return 1.0 };
         let ages =
             self.jobs.values().filter(|h| h.stage == Stage::OnCores).map(|h| h.on_cores + now.since(h.since));
         let (count, total) = ages.fold((0.0, 0.0), |(n, sum), age| (n + 1.0, sum + age.as_ms()));
@@ -793,22 +727,20 @@
     /// given up now, so that its caller hears it while there is time to go elsewhere.
     fn run_held(&mut self, now: Time, out: &mut dyn Decisions) {
         let mut hold = Vec::new();
-        let ids: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(|h| h.stage == Stage::Held && !h.answered)
-            .map(|h| h.job.id.clone())
-            .collect();
-        for id in ids {
+        for id in self.pick(|held| held.stage == Stage::Held) {
             let held = &self.jobs[&id];
-            let (use_case, customer, order) = (held.job.use_case, held.job.customer, held.order);
             let late = if held.goal <= now { self.case(held).late_part } else { 1.0 };
             let earns = self.case(held).earnings * late;
-            let value =
-                earns * self.quotas.part(now, customer) / self.core_time(now, use_case).as_ms().max(0.001);
-            hold.push((value, order, use_case, id));
-        }
-        hold.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            let (use_case, customer) = (held.job.use_case, held.job.customer);
+            let takes = self.core_time(now, use_case).as_ms().max(0.001);
+            let (fleet, beyond) = (self.callers.fleet, self.callers.over_quota_part);
+            let part = self.quotas.get_mut(customer).map_or(1.0, |(tries, quota)| {
+                part_in_quota(tries.read(now) * 1000.0 / self.fade.as_ms(), fleet, *quota, beyond)
+            });
+            hold.push((earns * part / takes, use_case, id));
+        }
+        // Stable: among equals the one read first.
+        hold.sort_by(|a, b| b.0.total_cmp(&a.0));
         let stretch = self.stretch(now);
         let cap = self.crowd_cap(now);
         // Reading shares the cores with the runs. Jobs that wait unread can be neither bounced nor put in
@@ -820,12 +752,11 @@
         let least = self.machine.cores.min(most);
         let mut on_cores = self.crowd(Stage::OnCores);
         let mut crowd = self.crowd(Stage::Calling);
-        let mut memory = self.used_kb() + self.entries.alive(now) as f64 * self.machine.entry_kb;
+        let mut memory = self.used_kb(now);
         let mut ahead = Span::ZERO;
         let mut waiting = false;
-        for (_, _, use_case, id) in hold {
+        for (_, use_case, id) in hold {
             let held = &self.jobs[&id];
-            let numbered = self.case(held).repeats == Repeats::Numbered;
             let needs = held.job.held_kb * (self.machine.running_factor - 1.0);
             let calls = self.case(held).calls;
             let wait = self.call_wait(now, held);
@@ -836,8 +767,7 @@
             if room {
                 let held = &self.jobs[&id];
                 let apart = self.case(held).cut_off * 0.05;
-                if numbered && self.entries.may_have_run(&held.job, held.read, self.callers.mark_again, apart)
-                {
+                if self.entries.may_have_run(&held.job, held.since, self.callers.mark_again, apart) {
                     if let Some(held) = self.jobs.get_mut(&id) {
                         held.ran = true;
                     }
@@ -847,11 +777,9 @@
                 out.run(&id);
                 if let Some(held) = self.jobs.get_mut(&id) {
                     (held.stage, held.since, held.ran) = (Stage::OnCores, now, true);
-                    let job = &held.job;
-                    if let Some(entry) = self.entries.kept.get_mut(&id) {
-                        let (reached, again) = (job.reached, job.again);
-                        entry.ran = Some(RanAt { use_case, reached, kept: held.read, again });
-                    }
+                }
+                if let Some(entry) = self.entries.kept.get_mut(&id) {
+                    entry.ran = true;
                 }
                 on_cores += 1.0;
                 crowd += 1.0;
@@ -872,29 +800,23 @@
         self.trial.settle(now, waiting, least, most);
     }
 
-    /// Right after each batch, held and running jobs and entries must fit: the least earning goes first.
+    /// Right after each batch, held and running jobs and entries must fit: what is held goes before what runs, the last read first.
     fn shed_memory(&mut self, now: Time, out: &mut dyn Decisions) {
         let limit = self.machine.memory_kb * (1.0 + RULE_ROOM) / 2.0;
-        let entries = self.entries.alive(now) as f64 * self.machine.entry_kb;
-        let mut over = self.used_kb() + entries - limit;
+        let mut over = self.used_kb(now) - limit;
         if over <= 0.0 {
             return;
         }
-        let mut order: Vec<(bool, u64, JobId, f64)> = Vec::new();
-        for held in self.jobs.values().filter(|held| !held.answered) {
-            let stoppable = held.stage == Stage::OnCores && self.machine.stopping != Stopping::Never;
-            if !held.running() || stoppable && self.case(held).repeats == Repeats::Reissuable {
-                order.push((held.running(), u64::MAX - held.order, held.job.id.clone(), self.kb(held)));
-            }
-        }
-        order.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
-        for (_, _, id, kb) in order {
-            if over <= 0.0 {
-                break;
-            }
+        let may_stop = self.machine.stopping != Stopping::Never;
+        let stoppable = |held: &InHand| {
+            may_stop && held.stage == Stage::OnCores && self.case(held).repeats == Repeats::Reissuable
+        };
+        let mut ids = self.pick(|held| !held.running());
+        ids.splice(0..0, self.pick(stoppable));
+        while let Some(id) = ids.pop().filter(|_| over > 0.0) {
+            over -= self.kb(&self.jobs[&id]);
             let back_in = self.hold_clears_in(now);
             self.give_up(now, &id, true, back_in, out);
-            over -= kb;
         }
     }
 
@@ -906,14 +828,9 @@
         self.openness.next = Some(now + self.callers.heeded_for * 0.1);
         let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
         let wait = (self.hold_clears_in(now) + unread) / (self.shortest_goal * WAIT_PART);
-        // Only a credit means anything above 1; the others would just be late to close.
-        self.openness.steer(wait, if self.callers.signal == Signal::Credit { 8.0 } else { 1.0 });
+        let wait = if self.leaving.is_some() { f64::INFINITY } else { wait };
         let outstanding = 4.0 * self.trial.limit / self.callers.count.max(1.0);
-        let value = if self.leaving.is_some() && self.callers.signal == Signal::Weight {
-            Some(0.0)
-        } else {
-            self.openness.value(self.callers.signal, outstanding, wait)
-        };
+        let value = self.openness.steer(wait, self.callers.signal, outstanding);
         if let Some(value) = value.filter(|value| self.openness.told != Some(*value)) {
             self.openness.told = Some(value);
             out.say(value);
@@ -927,19 +844,10 @@
             next = next.into_iter().chain(self.openness.next).min();
         }
         if !self.gate.queue.is_empty() {
-            let gate = self
-                .gate
-                .lingering
-                .iter()
-                .copied()
-                .chain(self.gate.closed_until)
-                .filter(|at| *at > now)
-                .min();
-            next = next.into_iter().chain(gate).min();
-        }
-        let Some(next) = next.map(|next| next.max(now + self.machine.tick)) else {
-            return;
-        };
+            let gate = self.gate.lingering.iter().copied().chain(self.gate.closed_until);
+            next = next.into_iter().chain(gate.filter(|at| *at > now)).min();
+        }
+        let Some(next) = next.map(|next| next.max(now + self.machine.tick)) else { return };
         if self.alarm.is_none_or(|(at, _)| next < at) {
             self.alarms += 1;
             self.alarm = Some((next, self.alarms));
--- a/crates/hazelgrade/src/decay.rs
+++ b/crates/hazelgrade/src/decay.rs
@@ -27,3 +27,32 @@
         self.sum = self.read(now) + amount;
     }
 }
+
+/// Mean of a length of time, over what ended lately.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    total: DecaySum,
+    count: DecaySum,
+}
+
+impl Pace {
+    pub fn new(fade: Span) -> Pace {
+        Pace { total: DecaySum::new(fade), count: DecaySum::new(fade) }
+    }
+
+    pub fn learn(&mut self, now: Time, span: Span) {
+        self.total.add(now, span.as_ms());
+        self.count.add(now, 1.0);
+    }
+
+    /// How many samples still count.
+    pub fn count(&mut self, now: Time) -> f64 {
+        self.count.read(now)
+    }
+
+    /// Nothing before the first sample; after idleness the last mean still stands.
+    pub fn mean(&mut self, now: Time) -> Option<Span> {
+        let (total, count) = (self.total.read(now), self.count.read(now));
+        (count > f64::MIN_POSITIVE).then(|| Span::from_ms(total / count))
+    }
+}
--- a/crates/hazelgrade/src/desk.rs
+++ b/crates/hazelgrade/src/desk.rs
@@ -17,6 +17,8 @@
     pub reached: Time,
     /// When its caller stops waiting, where callers tell.
     pub waits_until: Option<Time>,
+    /// Time on a standard core that it is expected to take, where that is told.
+    pub work: Option<Span>,
     /// Memory it takes while held, in kilobytes.
     pub held_kb: f64,
     /// Its place by earnings among all jobs, from 0 up to less than 1.
@@ -38,6 +40,8 @@
 #[derive(Clone, Debug)]
 pub struct UseCase {
     pub goal: Span,
+    /// The goal time grows by this part of the job's work.
+    pub goal_per_work: f64,
     pub cut_off: Span,
     pub earnings: f64,
     /// Part of the earnings for an answer after the goal time.
@@ -149,13 +153,6 @@
     }
 }
 
-/// What the machine tells of itself when a timer fires.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Gauges {
-    pub core_use: Option<f64>,
-    pub on_cores: Option<f64>,
-}
-
 /// Takes the decisions of a round, in order.
 pub trait Decisions {
     fn run(&mut self, id: &JobId);
