--- a/crates/hazelgrade-wirehost/src/wire.rs
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -311,7 +311,6 @@
         warm_up: guarantees.span("warmUp", 0.0)?,
         drain_grace: guarantees.span("drainGrace", 0.0)?,
         crowd_per_core: guarantees.number("tipMultiple", f64::INFINITY)?.max(1.0),
-        crowd_over: guarantees.span("fall", 0.0)?,
     };
     let told = specifics.number("callsOut", 0.0)?;
     let below = Below {
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -1,8 +1,7 @@
 //! The decision module: what one server takes, runs and turns away.
 //!
 //! How it is called: once a batch, `control.round(now, |inflow| …, &mut writer)`. The closure tells `Inflow`
-//! what came in, in order; then the module decides, and writes what it decides into the writer. The interface
-//! is `desk.rs` (`Decisions` and the job and setting types); clock, sums and chance stand beside it.
+//! what came in, in order; then the module decides into the writer. The interface is `desk.rs`.
 //!
 //! The design (`docs/design.md`) is `CallGate`: permits, a bounded call queue, a learned depth, a wait budget,
 //! bounces at arrival. Beside it stand six mechanisms:
@@ -11,7 +10,7 @@
 //! 3. `part_in_quota`: a customer's jobs beyond its quota count for less in that order.
 //! 4. `Openness`: surplus is kept away by the value said to callers, by back-in times and "not elsewhere".
 //! 5. A job whose call can't be made goes on without it, where that still earns something.
-//! 6. The rules' guards: cut-off, drain, memory, crowd, and `Entries` for numbered jobs.
+//! 6. The rules' guards: cut-off, drain, memory, crowd, and entries for numbered jobs.
 
 use crate::chance::Chance;
 use crate::decay::{DecaySum, Pace};
@@ -23,13 +22,11 @@
 const UNTOLD_PERMITS: f64 = 8.0;
 /// Part of a limit of the rules that is used at most: what is read or comes back meanwhile needs the rest.
 const RULE_ROOM: f64 = 0.8;
-/// Exception to a fixed permit count: where no share is told, permits may grow to this many times the start;
-/// under a told share they never go past it.
+/// Exception: where no share is told, permits may grow to this; under a told share they never go past it.
 const MOST_PERMITS: f64 = 4.0 * UNTOLD_PERMITS;
 /// Calls that take this many times what they took at best show that what lies below is crowded.
 const CALLS_CROWDED: f64 = 4.0;
-/// What is learned fades over this many of the shortest goal times: long enough to hold some dozens of jobs,
-/// short enough to follow a trouble of some seconds.
+/// What is learned fades over this many of the shortest goal times: some dozens of jobs, some seconds.
 const MEMORY_IN_GOALS: f64 = 2.0;
 /// Part of the shortest goal time that jobs may wait on average before surplus is kept away.
 const WAIT_PART: f64 = 0.15;
@@ -52,16 +49,14 @@
     job: Job,
     order: u64,
     stage: Stage,
-    /// When the stage began.
-    since: Time,
+    since: Time, // when the stage began
     on_cores: Span,
     due: Time,
     goal: Time,
     answered: bool,
     ran: bool,
     call_tries: u32,
-    /// A call of it may have had its effect.
-    call_unsure: bool,
+    call_unsure: bool, // a call of it may have had its effect
 }
 
 impl InHand {
@@ -72,18 +67,15 @@
 
 /// The design's semaphore and bounded queue before what lies below.
 struct CallGate {
-    share: Option<f64>,
-    /// Calls that may be in hand; see `tune`.
-    permits: f64,
+    below: Below,
+    permits: f64, // calls that may be in hand; see `tune`
     /// The lowest mean latency, drifting up so that a lasting change below is taken as it is.
     best: Option<f64>,
     queue: VecDeque<JobId>,
     in_hand: usize,
-    /// When calls that were given up have left what lies below.
-    lingering: Vec<Time>,
+    /// Calls that are over: when they left what lies below, and how long they were there.
+    past: Vec<(Time, Span)>,
     latency: Pace,
-    /// With a share under one call: when the permit may be used again.
-    closed_until: Option<Time>,
 }
 
 impl CallGate {
@@ -96,12 +88,12 @@
     /// so that what lies below is not pushed further down by whatever made it slow.
     fn tune(&mut self, now: Time) {
         // A mean over fewer calls than the start of the permits is chance.
-        let start = self.share.unwrap_or(UNTOLD_PERMITS);
+        let start = self.below.share.unwrap_or(UNTOLD_PERMITS);
         let enough = self.latency.count(now) >= start.max(UNTOLD_PERMITS);
         let Some(mean) = self.latency.mean(now).map(Span::as_ms).filter(|_| enough) else { return };
         let best = self.best.map_or(mean, |best| (best * (1.0 + 0.002 / self.permits)).min(mean));
         self.best = Some(best);
-        let most = self.share.unwrap_or(MOST_PERMITS);
+        let most = self.below.share.unwrap_or(MOST_PERMITS);
         if mean > best * CALLS_CROWDED {
             self.permits -= 0.5 / self.permits;
         } else if !self.queue.is_empty() && mean < best * (1.0 + CALLS_CROWDED) / 2.0 {
@@ -117,6 +109,7 @@
         Some(self.permits * 1000.0 / latency.as_ms().max(0.001))
     }
 
+    /// The wait budget; as depth over drain rate it is the retry-after too.
     fn budget(&mut self, now: Time, wait: Span) -> Span {
         wait.less(self.latency.mean(now).unwrap_or(Span::ZERO))
     }
@@ -130,28 +123,28 @@
         self.queue.len() as f64 >= self.depth(now, wait)
     }
 
-    /// Depth over drain rate: the budget that the depth was made of.
-    fn back_in(&mut self, now: Time, wait: Span) -> Span {
-        self.budget(now, wait)
+    /// With a share under one call: how long the next may take, by what was used over the share's time.
+    fn part_left(&self) -> Option<Span> {
+        let share = self.below.share.filter(|share| *share < 1.0)?;
+        let used = self.past.iter().fold(self.below.linger, |used, (_, lasted)| used + *lasted);
+        Some((self.below.share_over * share).less(used))
     }
 
     fn may_call(&mut self, now: Time) -> bool {
-        self.lingering.retain(|until| *until > now);
-        self.closed_until.is_none_or(|until| until <= now)
-            && ((self.in_hand + self.lingering.len()) as f64) < self.permits()
+        let part = self.below.share.is_some_and(|share| share < 1.0);
+        let kept = if part { self.below.share_over } else { Span::ZERO };
+        self.past.retain(|(left, _)| *left + kept > now);
+        let lingering = self.past.iter().filter(|(left, _)| *left > now).count();
+        let latency = self.latency.mean(now).unwrap_or(Span::ZERO);
+        let rested = self.part_left().is_none_or(|left| left > latency || self.past.is_empty());
+        rested && ((self.in_hand + lingering) as f64) < self.permits()
     }
 
-    /// A call is over, or given up and lingering below. A permit of a part share rests in proportion.
-    fn over(&mut self, now: Time, lasted: Span, linger: Option<Span>) {
+    /// A call is over, or given up and lingering below.
+    fn over(&mut self, now: Time, lasted: Span, given_up: bool) {
         self.in_hand = self.in_hand.saturating_sub(1);
-        let left = now + linger.unwrap_or(Span::ZERO);
-        if linger.is_some() {
-            self.lingering.push(left);
-        }
-        if let Some(share) = self.share.filter(|share| *share < 1.0) {
-            let used = lasted + left.since(now);
-            self.closed_until = Some(left + used * (1.0 / share.max(0.001) - 1.0));
-        }
+        let linger = if given_up { self.below.linger } else { Span::ZERO };
+        self.past.push((now + linger, lasted + linger));
     }
 }
 
@@ -186,17 +179,10 @@
         (self.checked, self.jobs_wait) = (Some(now), jobs_wait);
         if self.done >= Self::JUDGED_AFTER * self.limit {
             let rate = self.done / self.busy.as_ms().max(1.0);
-            match self.before {
-                Some(before) if rate < before * (1.0 + Self::GAIN) => {
-                    self.limit -= self.step;
-                    self.step = -self.step;
-                    self.before = None;
-                }
-                _ => {
-                    self.before = Some(rate);
-                    self.limit += self.step;
-                }
-            }
+            let better = self.before.is_none_or(|before| rate >= before * (1.0 + Self::GAIN));
+            self.step = if better { self.step } else { -self.step };
+            self.limit += self.step;
+            self.before = better.then_some(rate);
             (self.done, self.busy) = (0.0, Span::ZERO);
         }
         if self.limit + self.step < least || self.limit + self.step > most {
@@ -235,39 +221,26 @@
     }
 }
 
-/// The table of numbered jobs: one entry a job, alive until its repeats can't come any more.
-#[derive(Default)]
-struct Entries {
-    kept: BTreeMap<JobId, Entry>,
-}
-
+/// What is kept of a numbered job until its repeats can't come any more.
 struct Entry {
     until: Time,
     /// Read later than `until`, a repeat may still name this job.
     named_until: Time,
     use_case: usize,
-    /// Reached the machine, and got its entry: repeats that came in between are blind.
-    reached: Time,
+    reached: Time, // repeats that reach the machine from here until `kept` are blind
     kept: Time,
     again: bool,
     ran: bool,
 }
 
-impl Entries {
-    fn alive(&self, now: Time) -> usize {
-        self.kept.values().filter(|entry| entry.until > now).count()
-    }
-
+impl Entry {
     /// A numbered job that no entry links may still repeat one that ran, if both were on the machine unread
     /// at a time. With marked repeats one of the two is marked; else they lie a wait of a caller apart.
-    fn may_have_run(&self, job: &Job, read: Time, marked: bool, apart: Span) -> bool {
-        self.kept.values().filter(|entry| entry.ran).any(|ran| {
-            ran.use_case == job.use_case
-                && ran.kept != read
-                && job.reached < ran.kept
-                && ran.reached < read
-                && (if marked { ran.again || job.again } else { job.reached.since(ran.reached) >= apart })
-        })
+    fn may_be(&self, job: &Job, read: Time, marked: bool, apart: Span) -> bool {
+        let between = job.reached.since(self.reached) + self.reached.since(job.reached);
+        let lie = if marked { self.again || job.again } else { between >= apart };
+        let unread_together = self.kept != read && job.reached < self.kept && self.reached < read;
+        self.ran && self.use_case == job.use_case && unread_together && lie
     }
 }
 
@@ -275,11 +248,10 @@
     use_cases: Vec<UseCase>,
     machine: Machine,
     promises: Promises,
-    below: Below,
     callers: Callers,
     jobs: BTreeMap<JobId, InHand>,
     fresh: Vec<JobId>,
-    entries: Entries,
+    entries: BTreeMap<JobId, Entry>,
     gate: CallGate,
     trial: RunTrial,
     /// By customer: its first tries, and its quota a second over the fleet.
@@ -297,11 +269,9 @@
     fade: Span,
     started: Option<Time>,
     told_good: Option<bool>,
-    /// When the notice came, and when the process is stopped.
-    leaving: Option<(Time, Time)>,
-    orders: u64,
+    leaving: Option<(Time, Time)>, // when the notice came, and when the process is stopped
+    numbers: u64,                  // for jobs and timers
     alarm: Option<(Time, u64)>,
-    alarms: u64,
 }
 
 /// Tells the module what came in; the events of a round, in order.
@@ -324,9 +294,9 @@
         let due = job.waits_until.unwrap_or(job.reached + case.cut_off);
         let stretched = job.work.map_or(Span::ZERO, |work| work * case.goal_per_work);
         let goal = (job.reached + case.goal + stretched).min(due);
-        control.orders += 1;
+        control.numbers += 1;
         let held = InHand {
-            order: control.orders,
+            order: control.numbers,
             stage: Stage::Held,
             since: now,
             on_cores: Span::ZERO,
@@ -348,7 +318,7 @@
         let Some(mut held) = control.jobs.remove(id) else { return };
         match held.stage {
             Stage::Queued => control.gate.queue.retain(|queued| queued != id),
-            Stage::Calling => control.gate.over(now, now.since(held.since), Some(control.below.linger)),
+            Stage::Calling => control.gate.over(now, now.since(held.since), true),
             Stage::OnCores => held.on_cores += now.since(held.since),
             Stage::Held | Stage::Sharing => return,
         }
@@ -380,18 +350,15 @@
     pub fn call_ended(&mut self, id: &JobId, outcome: Outcome, took: Span) {
         let (now, control) = (self.now, &mut *self.control);
         let Some(held) = control.jobs.get_mut(id).filter(|held| held.stage == Stage::Calling) else { return };
-        let linger = (outcome == Outcome::Overdue).then_some(control.below.linger);
-        control.gate.over(now, took, linger);
+        control.gate.over(now, took, outcome == Outcome::Overdue);
         if !outcome.never_ran() {
             control.gate.latency.learn(now, took);
             control.gate.tune(now);
         }
-        held.since = now;
         if outcome == Outcome::Completed {
-            held.stage = Stage::OnCores;
-            held.call_tries = 0;
+            (held.stage, held.since, held.call_tries) = (Stage::OnCores, now, 0);
         } else {
-            held.stage = Stage::Queued;
+            (held.stage, held.since) = (Stage::Queued, now);
             held.call_unsure |= !outcome.never_ran();
             control.fresh.push(id.clone());
         }
@@ -443,16 +410,15 @@
             tries_again: DecaySum::new(fade),
             jobs: BTreeMap::new(),
             fresh: Vec::new(),
-            entries: Entries::default(),
+            entries: BTreeMap::new(),
             gate: CallGate {
-                share: below.share,
                 permits: below.share.unwrap_or(UNTOLD_PERMITS),
+                below,
                 best: None,
                 queue: VecDeque::new(),
                 in_hand: 0,
-                lingering: Vec::new(),
+                past: Vec::new(),
                 latency: Pace::new(fade),
-                closed_until: None,
             },
             trial: RunTrial {
                 limit: (machine.cores * 1.5).floor().max(1.0),
@@ -467,13 +433,11 @@
             started: None,
             told_good: None,
             leaving: None,
-            orders: 0,
+            numbers: 0,
             alarm: None,
-            alarms: 0,
             use_cases,
             machine,
             promises,
-            below,
             callers,
         }
     }
@@ -494,7 +458,10 @@
                 _ => {}
             }
         }
-        self.give_up_late(now, out);
+        for id in self.pick(|held| self.useless_from(held) <= now) {
+            let back_in = self.hold_clears_in(now);
+            self.give_up(now, &id, self.leaving.is_some(), Some(back_in), out);
+        }
         self.make_calls(now, out);
         self.run_held(now, out);
         self.shed_memory(now, out);
@@ -502,6 +469,19 @@
         self.set_alarm(now, out);
     }
 
+    /// No entry links it, but it may repeat a numbered job that ran.
+    fn blind(&self, held: &InHand) -> bool {
+        let (marked, apart) = (self.callers.mark_again, self.case(held).cut_off * 0.05);
+        self.entries.values().any(|entry| entry.may_be(&held.job, held.since, marked, apart))
+    }
+
+    fn enter(&mut self, now: Time, id: &JobId, stage: Stage) {
+        let Some(held) = self.jobs.get_mut(id) else { return };
+        (held.stage, held.since) = (stage, now);
+        held.ran |= held.running();
+        held.call_tries = if stage == Stage::Calling { held.call_tries + 1 } else { 0 };
+    }
+
     fn case(&self, held: &InHand) -> &UseCase {
         &self.use_cases[held.job.use_case]
     }
@@ -510,13 +490,9 @@
     fn last_moment(&self, held: &InHand) -> Time {
         let wait = held.due.since(held.job.reached);
         let last = held.due - self.promises.answer_slack.min(wait * 0.1);
-        let stopped = self.leaving.map(|(_, stop)| stop - self.stop_margin());
-        stopped.map_or(last, |stop| last.min(stop))
-    }
-
-    /// Answers before a stop are out this much earlier: a pause of the process may fall there.
-    fn stop_margin(&self) -> Span {
-        (self.promises.drain_grace * 0.1).max(self.machine.tick * 4.0)
+        // Answers before a stop are out well before it: a pause of the process may fall there.
+        let margin = (self.promises.drain_grace * 0.1).max(self.machine.tick * 4.0);
+        self.leaving.map_or(last, |(_, stop)| last.min(stop - margin))
     }
 
     /// When an answer stops being worth anything.
@@ -530,14 +506,23 @@
         held.job.waits_until.map_or(self.case(held).cut_off, |until| until.since(now))
     }
 
-    /// Gives the final answer at once. A job that may have had an effect is written off; all else is
-    /// bounced, with when to come back.
-    fn give_up(&mut self, now: Time, id: &JobId, elsewhere: bool, back_in: Span, out: &mut dyn Decisions) {
+    /// Gives the final answer at once: a bounce with when to come back, or, without that and for a job that
+    /// may have had an effect, an error.
+    fn give_up(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        elsewhere: bool,
+        back_in: Option<Span>,
+        out: &mut dyn Decisions,
+    ) {
+        let blind = self.jobs.get(id).is_some_and(|held| self.blind(held));
         let Some(held) = self.jobs.get_mut(id).filter(|held| !held.answered) else { return };
         held.answered = true;
         let repeats = self.use_cases[held.job.use_case].repeats;
-        // A job that names another may repeat one that ran.
-        if repeats == Repeats::Reissuable || !(held.ran || held.job.repeats.is_some()) {
+        let may_have_run = held.ran || held.job.repeats.is_some() || blind;
+        let may_bounce = repeats == Repeats::Reissuable || !may_have_run;
+        if let Some(back_in) = back_in.filter(|_| may_bounce) {
             let crowded = self.tries_again.read(now) > 0.2 * self.tries.read(now);
             let not_elsewhere = !elsewhere || held.job.again || crowded;
             // Spread by chance, so that what was bounced together doesn't come back together.
@@ -552,8 +537,8 @@
         self.stop_unwanted(id, out);
         if self.jobs.get(id).is_some_and(|held| !held.running()) {
             self.jobs.remove(id);
-            if self.entries.kept.get(id).is_some_and(|entry| !entry.ran) {
-                self.entries.kept.remove(id);
+            if self.entries.get(id).is_some_and(|entry| !entry.ran && !blind) {
+                self.entries.remove(id);
                 out.forget(id);
             }
         }
@@ -573,43 +558,41 @@
     fn admit(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
         let Some(held) = self.jobs.get(id) else { return };
         let (case, job) = (self.case(held).clone(), held.job.clone());
-        let read = held.since;
         if case.repeats == Repeats::Numbered {
-            self.entries.kept.retain(|_, entry| entry.named_until > now);
+            self.entries.retain(|_, entry| entry.named_until > now);
             // Two that came in one batch name each other: the first of them has no entry yet and stands.
-            let stands =
-                |prior: &JobId| self.entries.kept.contains_key(prior) || !self.jobs.contains_key(prior);
+            let stands = |prior: &JobId| self.entries.contains_key(prior) || !self.jobs.contains_key(prior);
             if job.repeats.as_ref().is_some_and(stands) {
                 out.share(id);
-                if let Some(held) = self.jobs.get_mut(id) {
-                    held.stage = Stage::Sharing;
-                }
-                return;
+                return self.enter(now, id, Stage::Sharing);
+            }
+            if self.blind(held) {
+                return self.give_up(now, id, false, None, out);
             }
             if self.used_kb(now) + self.machine.entry_kb > self.machine.memory_kb * RULE_ROOM {
-                return self.give_up(now, id, true, case.window, out);
+                return self.give_up(now, id, true, Some(case.window), out);
             }
-            // An entry lives from here until no repeat of a job that reached us when this one did is due.
             let until = job.reached + case.window + self.machine.tick;
             let span = until.since(now);
             if span > Span::ZERO {
                 out.remember(id, span);
             }
             let named_until = until.max(now) + case.cut_off;
-            let (use_case, reached, kept, again) = (job.use_case, job.reached, read, job.again);
-            let entry = Entry { until, named_until, use_case, reached, kept, again, ran: false };
-            self.entries.kept.insert(id.clone(), entry);
+            let (use_case, reached, again) = (job.use_case, job.reached, job.again);
+            let entry = Entry { until, named_until, use_case, reached, kept: now, again, ran: false };
+            self.entries.insert(id.clone(), entry);
         }
         if let Some((notice, _)) = self.leaving
             && (job.reached > notice + self.promises.drain_grace
-                || read + self.expected(now, job.use_case) > self.last_moment(&self.jobs[id]))
+                || now + self.whole[job.use_case].mean(now).unwrap_or(Span::ZERO)
+                    > self.last_moment(&self.jobs[id]))
         {
-            return self.give_up(now, id, true, Span::ZERO, out);
+            return self.give_up(now, id, true, Some(Span::ZERO), out);
         }
         let wait = self.call_wait(now, &self.jobs[id]);
         if case.calls && self.gate.full(now, wait) {
-            let back_in = self.gate.back_in(now, wait);
-            self.give_up(now, id, false, back_in, out);
+            let back_in = self.gate.budget(now, wait);
+            self.give_up(now, id, false, Some(back_in), out);
         }
     }
 
@@ -625,17 +608,16 @@
         }
     }
 
-    /// Exception to "gets an error": where leaving the call out still earns something, the job goes on.
+    /// A call that is not made is an error. Exception: where leaving it out still earns something, and the
+    /// cores have room, the job goes on.
     fn no_call(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
-        let wait = self.jobs.get(id).map_or(Span::ZERO, |held| self.call_wait(now, held));
-        let back_in = self.gate.back_in(now, wait);
         let room = self.crowd(Stage::Calling) < self.crowd_cap(now);
-        let Some(held) = self.jobs.get_mut(id) else { return };
-        if self.use_cases[held.job.use_case].part_without_call > 0.0 && room {
-            (held.stage, held.since, held.call_tries) = (Stage::OnCores, now, 0);
+        let Some(held) = self.jobs.get(id) else { return };
+        if self.case(held).part_without_call > 0.0 && room {
+            self.enter(now, id, Stage::OnCores);
             out.skip_call(id);
         } else {
-            self.give_up(now, id, true, back_in, out);
+            self.give_up(now, id, false, None, out);
         }
     }
 
@@ -647,13 +629,6 @@
         picked.into_iter().map(|held| held.job.id.clone()).collect()
     }
 
-    fn give_up_late(&mut self, now: Time, out: &mut dyn Decisions) {
-        for id in self.pick(|held| self.useless_from(held) <= now) {
-            let back_in = self.hold_clears_in(now);
-            self.give_up(now, &id, self.leaving.is_some(), back_in, out);
-        }
-    }
-
     fn make_calls(&mut self, now: Time, out: &mut dyn Decisions) {
         while self.gate.may_call(now) && self.crowd(Stage::Calling) < self.crowd_cap(now) {
             let Some(id) = self.gate.queue.pop_front() else { break };
@@ -663,20 +638,15 @@
                 self.no_call(now, &id, out);
                 continue;
             }
-            let mut within = self.useless_from(held).since(now);
-            if let Some(share) = self.below.share.filter(|share| *share < 1.0) {
-                within = within.min((self.below.share_over * share).less(self.below.linger));
-            }
-            if let Some(held) = self.jobs.get_mut(&id) {
-                (held.stage, held.since) = (Stage::Calling, now);
-                held.call_tries += 1;
-            }
+            let within = self.useless_from(held).since(now);
+            let within = self.gate.part_left().map_or(within, |left| within.min(left));
+            self.enter(now, &id, Stage::Calling);
             self.gate.in_hand += 1;
             out.call(&id, within.max(self.machine.tick));
         }
     }
 
-    /// Jobs on the cores, and those whose calls may come back to them at any moment.
+    /// Jobs on the cores, and those in a stage from which they may come back to them.
     fn crowd(&self, or_in: Stage) -> f64 {
         let counts = |held: &&InHand| held.stage == Stage::OnCores || held.stage == or_in;
         self.jobs.values().filter(counts).count() as f64
@@ -691,7 +661,8 @@
     }
 
     fn used_kb(&self, now: Time) -> f64 {
-        let entries = self.entries.alive(now) as f64 * self.machine.entry_kb;
+        let entries =
+            self.entries.values().filter(|entry| entry.until > now).count() as f64 * self.machine.entry_kb;
         self.jobs.values().map(|held| self.kb(held)).sum::<f64>() + entries
     }
 
@@ -708,11 +679,6 @@
         if count < self.machine.cores { 1.0 } else { (total / count / mean.as_ms().max(0.001)).max(1.0) }
     }
 
-    /// From start to end of a run, as things go.
-    fn expected(&mut self, now: Time, case: usize) -> Span {
-        self.whole[case].mean(now).unwrap_or(Span::ZERO)
-    }
-
     fn core_time(&mut self, now: Time, case: usize) -> Span {
         self.on_cores[case].mean(now).or_else(|| self.any.mean(now)).unwrap_or(Span::from_ms(1.0))
     }
@@ -765,21 +731,16 @@
                 && memory + needs <= self.machine.memory_kb * RULE_ROOM
                 && !(calls && self.gate.full(now, wait));
             if room {
-                let held = &self.jobs[&id];
-                let apart = self.case(held).cut_off * 0.05;
-                if self.entries.may_have_run(&held.job, held.since, self.callers.mark_again, apart) {
-                    if let Some(held) = self.jobs.get_mut(&id) {
-                        held.ran = true;
-                    }
-                    self.give_up(now, &id, false, Span::ZERO, out);
+                if self.blind(&self.jobs[&id]) {
+                    self.give_up(now, &id, false, None, out);
                     continue;
                 }
                 out.run(&id);
-                if let Some(held) = self.jobs.get_mut(&id) {
-                    (held.stage, held.since, held.ran) = (Stage::OnCores, now, true);
-                }
-                if let Some(entry) = self.entries.kept.get_mut(&id) {
+                self.enter(now, &id, Stage::OnCores);
+                if let Some(entry) = self.entries.get_mut(&id) {
                     entry.ran = true;
+                    // A blind repeat may have taken the entry over meanwhile.
+                    out.remember(&id, entry.until.since(now));
                 }
                 on_cores += 1.0;
                 crowd += 1.0;
@@ -789,11 +750,13 @@
             waiting = true;
             let core_time = self.core_time(now, use_case) * stretch;
             ahead += core_time;
-            let done = now + ahead * (1.0 / limit) + self.expected(now, use_case).max(core_time);
+            let done = now
+                + ahead * (1.0 / limit)
+                + self.whole[use_case].mean(now).unwrap_or(Span::ZERO).max(core_time);
             let patience = self.use_cases[use_case].goal * HOLD_PART;
             if done > self.useless_from(&self.jobs[&id]) || ahead * (1.0 / limit) > patience {
                 let back_in = self.hold_clears_in(now);
-                self.give_up(now, &id, true, back_in, out);
+                self.give_up(now, &id, true, Some(back_in), out);
                 ahead = ahead.less(core_time);
             }
         }
@@ -804,9 +767,6 @@
     fn shed_memory(&mut self, now: Time, out: &mut dyn Decisions) {
         let limit = self.machine.memory_kb * (1.0 + RULE_ROOM) / 2.0;
         let mut over = self.used_kb(now) - limit;
-        if over <= 0.0 {
-            return;
-        }
         let may_stop = self.machine.stopping != Stopping::Never;
         let stoppable = |held: &InHand| {
             may_stop && held.stage == Stage::OnCores && self.case(held).repeats == Repeats::Reissuable
@@ -816,7 +776,7 @@
         while let Some(id) = ids.pop().filter(|_| over > 0.0) {
             over -= self.kb(&self.jobs[&id]);
             let back_in = self.hold_clears_in(now);
-            self.give_up(now, &id, true, back_in, out);
+            self.give_up(now, &id, true, Some(back_in), out);
         }
     }
 
@@ -844,14 +804,15 @@
             next = next.into_iter().chain(self.openness.next).min();
         }
         if !self.gate.queue.is_empty() {
-            let gate = self.gate.lingering.iter().copied().chain(self.gate.closed_until);
+            let gate =
+                self.gate.past.iter().flat_map(|(left, _)| [*left, *left + self.gate.below.share_over]);
             next = next.into_iter().chain(gate.filter(|at| *at > now)).min();
         }
         let Some(next) = next.map(|next| next.max(now + self.machine.tick)) else { return };
         if self.alarm.is_none_or(|(at, _)| next < at) {
-            self.alarms += 1;
-            self.alarm = Some((next, self.alarms));
-            out.wake_at(next, self.alarms);
+            self.numbers += 1;
+            self.alarm = Some((next, self.numbers));
+            out.wake_at(next, self.numbers);
         }
     }
 }
--- a/crates/hazelgrade/src/desk.rs
+++ b/crates/hazelgrade/src/desk.rs
@@ -90,9 +90,8 @@
     pub cold_from: f64,
     pub warm_up: Span,
     pub drain_grace: Span,
-    /// Jobs a core that a warm machine lives through, in the mean of `crowd_over`.
+    /// Jobs a core that a warm machine lives through, in the mean of some seconds.
     pub crowd_per_core: f64,
-    pub crowd_over: Span,
 }
 
 /// What jobs call.
--- /dev/null
+++ b/crates/hazelgrade/tests/rules.rs
@@ -0,0 +1,455 @@
+//! A slow, plain model of the four rules plays the world beside the module on generated inputs: runs that
+//! end, calls that return, timers that fire late, callers that leave. Every decision is checked against what
+//! the rules allow, and every job against the one final answer it is owed.
+
+mod common;
+
+use common::*;
+use hazelgrade::chance::Chance;
+use hazelgrade::desk::*;
+use hazelgrade::time::{Span, Time};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum At {
+    Unread,
+    Held,
+    Cores(Time),
+    Call,
+    Below { since: Time, ends: Time, given_up: Time },
+    Shared,
+    Over,
+}
+
+struct Known {
+    job: Job,
+    /// Tries of one request have one number.
+    request: usize,
+    read: Time,
+    at: At,
+    due: Time,
+    owed: bool,
+    calls_left: u32,
+    call_doubt: bool,
+    ran_ever: bool,
+    started: Time,
+}
+
+struct World {
+    setup: Setup,
+    chance: Chance,
+    jobs: BTreeMap<JobId, Known>,
+    /// Entries: who holds it, and until when it lives.
+    entries: BTreeMap<usize, (JobId, Time)>,
+    /// When the first try that ran of a numbered request reached the machine.
+    ran: BTreeMap<usize, Time>,
+    lingering: Vec<Time>,
+    timers: Vec<(Time, u64)>,
+    crowd: Vec<(Time, f64)>,
+    calls: Vec<(Time, f64)>,
+    notice: Option<(Time, Time)>,
+    fault: Option<String>,
+}
+
+impl World {
+    fn flag(&mut self, broken: bool, what: &str, id: &JobId, now: Time) {
+        if broken && self.fault.is_none() {
+            self.fault = Some(format!("{what}: job {id} at {} ms", now.as_ms()));
+        }
+    }
+
+    fn pick(&mut self, least: f64, most: f64) -> f64 {
+        least + (most - least) * self.chance.draw()
+    }
+
+    fn apply(&mut self, act: &Act, now: Time) {
+        let (Act::Run(id)
+        | Act::Bounce(id, _)
+        | Act::WriteOff(id)
+        | Act::Call(id, _)
+        | Act::Skip(id)
+        | Act::Stop(id)
+        | Act::Share(id)
+        | Act::Remember(id, _)
+        | Act::Forget(id)) = act
+        else {
+            match act {
+                Act::Wake(at, token) => self.timers.push((*at, *token)),
+                Act::Say(_) if self.setup.callers.signal == Signal::Silent => {
+                    self.flag(true, "said a value where none is used", &"-".into(), now);
+                }
+                _ => {}
+            }
+            return;
+        };
+        let (work, fate, below) = (self.pick(50.0, 900.0), self.chance.draw(), self.pick(20.0, 1500.0));
+        let Some(known) = self.jobs.get(id) else {
+            return self.flag(true, "names a job never read", id, now);
+        };
+        let case = self.setup.use_cases[known.job.use_case].clone();
+        let (stage, request, reached, doubt) = (known.at, known.request, known.job.reached, known.call_doubt);
+        let (ran_ever, repeats) = (known.ran_ever, known.job.repeats.is_some());
+        let ran_before = match case.repeats {
+            Repeats::Numbered => self.ran.get(&request).is_some_and(|ran| reached.since(*ran) < case.window),
+            Repeats::AtMostOnce => ran_ever,
+            Repeats::Reissuable => false,
+        };
+        match act {
+            Act::Run(_) => {
+                self.flag(stage != At::Held, "ran what is not held", id, now);
+                self.flag(ran_before, "ran twice", id, now);
+                let late =
+                    self.notice.is_some_and(|(notice, _)| reached > notice + self.setup.promises.drain_grace);
+                self.flag(late, "ran what came past the grace", id, now);
+                if case.repeats == Repeats::Numbered {
+                    self.ran.entry(request).or_insert(reached);
+                }
+            }
+            Act::Bounce(..) | Act::WriteOff(_) => {
+                let owed = self.jobs[id].owed;
+                self.flag(!owed, "answered twice", id, now);
+                let turned_away = matches!(act, Act::Bounce(..));
+                self.flag(
+                    turned_away && (ran_before || ran_ever && case.repeats != Repeats::Reissuable),
+                    "bounced what ran",
+                    id,
+                    now,
+                );
+                let honest = now <= self.jobs[id].due + self.setup.promises.answer_slack;
+                self.flag(!honest, "answered late", id, now);
+            }
+            Act::Call(..) => {
+                self.flag(doubt && case.repeats != Repeats::Reissuable, "called again in doubt", id, now);
+                self.flag(!case.calls || stage != At::Call, "called when not at a call", id, now);
+            }
+            Act::Skip(_) => {
+                self.flag(case.part_without_call <= 0.0, "left out a call that earns nothing", id, now)
+            }
+            Act::Stop(_) => self.flag(
+                self.setup.machine.stopping == Stopping::Never,
+                "stopped where it is a fault",
+                id,
+                now,
+            ),
+            Act::Share(_) => self.flag(!repeats, "shared without a job to share", id, now),
+            _ => {}
+        }
+        let Some(known) = self.jobs.get_mut(id) else { return };
+        match act {
+            Act::Run(_) if known.at == At::Held => {
+                (known.at, known.ran_ever, known.started) = (At::Cores(now + ms(work)), true, now);
+            }
+            Act::Bounce(..) | Act::WriteOff(_) => {
+                known.owed = false;
+                if matches!(known.at, At::Held | At::Shared) {
+                    known.at = At::Over;
+                }
+            }
+            Act::Call(_, within) if known.at == At::Call => {
+                let given_up = now + *within;
+                known.at = At::Below {
+                    since: now,
+                    ends: now + ms(if fate < 0.1 { below * 20.0 } else { below }),
+                    given_up,
+                };
+            }
+            Act::Skip(_) if known.at == At::Call => known.at = At::Cores(now + ms(work)),
+            Act::Stop(_) if matches!(known.at, At::Cores(_)) => known.at = At::Cores(now),
+            Act::Share(_) => known.at = At::Shared,
+            Act::Remember(_, span) if case.repeats == Repeats::Numbered => {
+                self.entries.insert(request, (id.clone(), now + *span));
+            }
+            Act::Forget(_) => {
+                self.entries.remove(&request);
+            }
+            _ => {}
+        }
+    }
+
+    /// Mean of a step function over the `span` that ends now.
+    fn mean(steps: &[(Time, f64)], now: Time, span: Span) -> f64 {
+        let from = now - span;
+        let ends = steps.iter().skip(1).map(|(at, _)| *at).chain([now]);
+        let area =
+            steps.iter().zip(ends).map(|((at, value), end)| value * end.since((*at).max(from)).as_ms());
+        area.sum::<f64>() / span.as_ms()
+    }
+
+    /// What must hold right after a batch.
+    fn check(&mut self, now: Time, begun: Time) {
+        let machine = &self.setup.machine;
+        let running = |known: &&Known| matches!(known.at, At::Cores(_) | At::Call | At::Below { .. });
+        let held = |known: &&Known| matches!(known.at, At::Held | At::Shared);
+        let run_kb: f64 = self.jobs.values().filter(running).map(|known| known.job.held_kb).sum();
+        let held_kb: f64 = self.jobs.values().filter(held).map(|known| known.job.held_kb).sum();
+        let entries = self.entries.values().filter(|(_, until)| *until > now).count() as f64;
+        let needed = run_kb * machine.running_factor + held_kb + entries * machine.entry_kb;
+        let memory_gone = needed > machine.memory_kb;
+        let on_cores = self.jobs.values().filter(|known| matches!(known.at, At::Cores(_))).count() as f64;
+        let out = self.jobs.values().filter(|known| matches!(known.at, At::Below { .. })).count();
+        self.lingering.retain(|until| *until > now);
+        for steps in [&mut self.crowd, &mut self.calls] {
+            let old = steps.iter().take_while(|(at, _)| now.since(*at) > ms(6000.0)).count();
+            steps.drain(..old.saturating_sub(1));
+        }
+        self.jobs.retain(|_, known| known.at != At::Over || now.since(known.job.reached) < ms(4000.0));
+        self.crowd.push((now, on_cores));
+        self.calls.push((now, (out + self.lingering.len()) as f64));
+        let promises = &self.setup.promises;
+        let warm = if machine.cold { promises.cold_from } else { 1.0 };
+        let speed = (warm + (1.0 - warm) * (now.since(begun) / promises.warm_up)).min(1.0);
+        let cap = machine.cores * (1.0 + (promises.crowd_per_core - 1.0) * speed);
+        let crowded = Self::mean(&self.crowd, now, ms(2000.0)) > cap + 1e-6;
+        let below = &self.setup.below;
+        // The world ends a call at the next tick after a pause; up to 200 ms in the 5 s are its own doing.
+        let flooded =
+            below.share.is_some_and(|share| Self::mean(&self.calls, now, below.share_over) > share + 0.04);
+        let lost = self.jobs.values().find(|known| {
+            let due = self.notice.map_or(known.due, |(_, stop)| known.due.min(stop));
+            known.owed && !matches!(known.at, At::Unread) && now > due + promises.answer_slack
+        });
+        let lost = lost.map(|known| known.job.id.clone());
+        let none: JobId = "-".into();
+        self.flag(memory_gone, "memory", &none, now);
+        self.flag(crowded, "crowd", &none, now);
+        self.flag(flooded, "calls in hand", &none, now);
+        self.flag(lost.is_some(), "no answer in time", lost.as_ref().unwrap_or(&none), now);
+    }
+}
+
+const KINDS: [Repeats; 3] = [Repeats::Reissuable, Repeats::Numbered, Repeats::AtMostOnce];
+
+fn world(seed: u64) -> World {
+    let mut chance = Chance::new(seed);
+    let mut setup = setup();
+    let base = setup.use_cases[0].clone();
+    setup.use_cases = KINDS
+        .iter()
+        .map(|repeats| UseCase {
+            repeats: *repeats,
+            late_part: if chance.draw() < 0.5 { 0.0 } else { 0.3 },
+            part_without_call: if chance.draw() < 0.5 { 0.0 } else { 0.4 },
+            calls: chance.draw() < 0.7,
+            ..base.clone()
+        })
+        .collect();
+    let one_of = |chance: &mut Chance, count: usize| (chance.draw() * count as f64) as usize;
+    setup.machine.cold = chance.draw() < 0.5;
+    setup.machine.memory_kb = [3_000.0, 20_000.0][one_of(&mut chance, 2)];
+    setup.machine.stopping = [Stopping::Never, Stopping::Drops, Stopping::Pauses][one_of(&mut chance, 3)];
+    setup.below.share = [None, Some(0.4), Some(3.5)][one_of(&mut chance, 3)];
+    setup.callers.signal =
+        [Signal::Silent, Signal::Level, Signal::Credit, Signal::Weight][one_of(&mut chance, 4)];
+    setup.callers.mark_again = chance.draw() < 0.7;
+    World {
+        setup,
+        chance,
+        jobs: BTreeMap::new(),
+        entries: BTreeMap::new(),
+        ran: BTreeMap::new(),
+        lingering: vec![],
+        timers: vec![],
+        crowd: vec![],
+        calls: vec![],
+        notice: None,
+        fault: None,
+    }
+}
+
+/// Plays one generated day and returns the first rule broken.
+fn play(seed: u64) -> Option<String> {
+    let mut world = world(seed);
+    let mut control = world.setup.control();
+    let begun = at(world.pick(-5000.0, 5000.0));
+    let leaves = begun + ms(world.pick(1000.0, 25_000.0));
+    let rate = world.pick(0.02, 0.6);
+    let (mut now, mut paused_until, mut count) = (begun, begun, 0);
+    while now.since(begun) < ms(24_000.0) && world.fault.is_none() {
+        now = now + world.setup.machine.tick;
+        if world.notice.is_some_and(|(_, stop)| now >= stop) {
+            break;
+        }
+        // New jobs, and further tries of numbered ones, reach the machine; some wait long unread.
+        while world.chance.draw() < rate && now.since(begun) < ms(17_000.0) {
+            count += 1;
+            let use_case = (world.chance.draw() * 3.0) as usize;
+            let old: Vec<(usize, JobId)> =
+                world.jobs.values().map(|k| (k.request, k.job.id.clone())).collect();
+            let again = use_case == 1 && !old.is_empty() && world.chance.draw() < 0.4;
+            let (mut request, mut id_before) = (count, None);
+            if again {
+                let (number, id) = old[(world.chance.draw() * old.len() as f64) as usize].clone();
+                let before = &world.jobs[&id];
+                if before.job.use_case == 1 && now.since(before.job.reached) > ms(400.0) {
+                    (request, id_before) = (number, Some(id));
+                }
+            }
+            let id: JobId = format!("j{count}").into();
+            let linked =
+                world.entries.get(&request).filter(|(_, until)| *until > now).map(|(id, _)| id.clone());
+            let wait =
+                if world.chance.draw() < 0.1 { world.pick(0.0, 3000.0) } else { world.pick(0.0, 20.0) };
+            let mut job = job(&id, now);
+            (job.use_case, job.again) = (use_case, id_before.is_some() && world.setup.callers.mark_again);
+            (job.repeats, job.held_kb) = (linked, world.pick(5.0, 40.0));
+            let due = now + world.setup.use_cases[use_case].cut_off;
+            let (read, at, started) = (now + ms(wait), At::Unread, now);
+            let (owed, calls_left) = (true, (world.chance.draw() * 3.0) as u32);
+            let known = Known {
+                job,
+                request,
+                read,
+                at,
+                due,
+                owed,
+                calls_left,
+                call_doubt: false,
+                ran_ever: false,
+                started,
+            };
+            world.jobs.insert(id, known);
+        }
+        if now < paused_until {
+            continue;
+        }
+        if world.chance.draw() < 0.001 {
+            paused_until = now + ms(world.pick(50.0, 150.0));
+            // A delay of a frozen process is not counted against it.
+            world
+                .jobs
+                .values_mut()
+                .filter(|known| known.owed)
+                .for_each(|known| known.due = known.due.max(paused_until));
+        }
+        let acts = events(&mut world, &mut control, now, leaves).unwrap_or_default();
+        for act in &acts {
+            world.apply(act, now);
+        }
+        world.check(now, begun);
+    }
+    world.fault
+}
+
+/// All that happens in the world at a tick, told to the module; its decisions, if anything happened.
+fn events(
+    world: &mut World,
+    control: &mut hazelgrade::control::Control,
+    now: Time,
+    leaves: Time,
+) -> Option<Vec<Act>> {
+    let (mut arrived, mut ended, mut at_call, mut returned, mut gone) =
+        (vec![], vec![], vec![], vec![], vec![]);
+    let ids: Vec<JobId> = world.jobs.keys().cloned().collect();
+    for id in ids {
+        let (luck, leaving, work) =
+            (world.chance.draw(), world.chance.draw() < 0.0005, world.pick(20.0, 300.0));
+        let calls = world.setup.use_cases[world.jobs[&id].job.use_case].calls;
+        let linger = world.setup.below.linger;
+        let Some(known) = world.jobs.get_mut(&id) else { continue };
+        match known.at {
+            At::Unread if known.read <= now => {
+                (known.at, known.due) = (At::Held, known.due.max(now));
+                arrived.push(known.job.clone());
+            }
+            At::Cores(end) if end <= now => {
+                if known.owed && calls && known.calls_left > 0 {
+                    (known.at, known.calls_left) = (At::Call, known.calls_left - 1);
+                    at_call.push(id.clone());
+                } else {
+                    (known.at, known.owed) = (At::Over, false);
+                    let outcome = if luck < 0.1 { Outcome::Errored } else { Outcome::Completed };
+                    ended.push((id.clone(), outcome, now.since(known.started)));
+                }
+            }
+            At::Call if !known.owed => {
+                known.at = At::Over;
+                ended.push((id.clone(), Outcome::Stopped, now.since(known.started)));
+            }
+            At::Below { since, .. } if !known.owed => {
+                known.at = At::Over;
+                world.lingering.push(now + linger);
+                ended.push((id.clone(), Outcome::Stopped, now.since(since)));
+            }
+            At::Below { since, ends, given_up } if ends <= now || given_up <= now => {
+                let outcome = match luck {
+                    _ if given_up < ends => Outcome::Overdue,
+                    _ if luck < 0.1 => Outcome::Errored,
+                    _ if luck < 0.2 => Outcome::Full,
+                    _ if luck < 0.3 => Outcome::Severed,
+                    _ => Outcome::Completed,
+                };
+                if outcome == Outcome::Overdue {
+                    world.lingering.push(now + linger);
+                }
+                known.call_doubt = outcome != Outcome::Completed && !outcome.never_ran();
+                known.at = if outcome == Outcome::Completed { At::Cores(now + ms(work)) } else { At::Call };
+                returned.push((id.clone(), outcome, now.since(since)));
+            }
+            At::Held | At::Cores(_) | At::Shared if leaving && known.owed => {
+                known.owed = false;
+                if !matches!(known.at, At::Cores(_)) {
+                    known.at = At::Over;
+                }
+                gone.push(id.clone());
+            }
+            _ => {}
+        }
+    }
+    // Tries of one request that are read in one batch name each other, kept or not.
+    let requests: Vec<usize> = arrived.iter().map(|job| world.jobs[&job.id].request).collect();
+    for mine in 0..arrived.len() {
+        let other = (0..arrived.len()).find(|other| *other != mine && requests[*other] == requests[mine]);
+        if let Some(other) = other.filter(|_| arrived[mine].repeats.is_none() && arrived[mine].use_case == 1)
+        {
+            arrived[mine].repeats = Some(arrived[other].id.clone());
+            let (id, named) = (arrived[mine].id.clone(), arrived[mine].repeats.clone());
+            if let Some(known) = world.jobs.get_mut(&id) {
+                known.job.repeats = named;
+            }
+        }
+    }
+    let fired: Vec<u64> = world.timers.iter().filter(|(at, _)| *at <= now).map(|(_, token)| *token).collect();
+    world.timers.retain(|(at, _)| *at > now);
+    let leaving = (now >= leaves && world.notice.is_none()).then(|| now + ms(4000.0));
+    if let Some(stop) = leaving {
+        world.notice = Some((now, stop));
+    }
+    let lists = [arrived.len(), ended.len(), at_call.len(), returned.len(), gone.len(), fired.len()];
+    if lists.iter().sum::<usize>() == 0 && leaving.is_none() {
+        return None;
+    }
+    Some(round(control, now, |inflow| {
+        // Odd but legal: a run that ended for a job never read, a timer of an earlier life.
+        inflow.run_ended(&"stranger".into(), Outcome::Moot, Span::ZERO);
+        inflow.woke(u64::MAX);
+        arrived.into_iter().for_each(|job| inflow.arrived(job));
+        ended.iter().for_each(|(id, outcome, took)| inflow.run_ended(id, *outcome, *took));
+        at_call.iter().for_each(|id| inflow.at_call(id));
+        returned.iter().for_each(|(id, outcome, took)| inflow.call_ended(id, *outcome, *took));
+        gone.iter().for_each(|id| inflow.caller_gone(id));
+        fired.iter().for_each(|token| inflow.woke(*token));
+        if let Some(stop) = leaving {
+            inflow.leaving(stop);
+        }
+    }))
+}
+
+/// Names a generated day. A smaller number is no simpler day, so there is nothing to shrink.
+#[derive(Clone, Debug)]
+struct Day(u64);
+
+impl Arbitrary for Day {
+    fn arbitrary(gen_: &mut Gen) -> Day {
+        Day(u64::arbitrary(gen_))
+    }
+}
+
+#[test]
+fn module_and_model_agree() {
+    fn keeps_the_rules(day: Day) -> Result<(), String> {
+        play(day.0).map_or(Ok(()), |fault| Err(format!("{day:?}: {fault}")))
+    }
+    let fixed = Gen::from_size_and_seed(100, 20_261_201);
+    QuickCheck::new().rng(fixed).tests(400).quickcheck(keeps_the_rules as fn(Day) -> Result<(), String>);
+}
