--- a/crates/hazelgrade/tests/common/mod.rs
+++ b/crates/hazelgrade/tests/common/mod.rs
@@ -24,34 +24,23 @@
 #[derive(Default)]
 pub struct Record(pub Vec<Act>);
 
+macro_rules! record {
+    ($($name:ident => $act:ident,)*) => {
+        $(fn $name(&mut self, id: &JobId) { self.0.push(Act::$act(id.clone())); })*
+    };
+}
+
 impl Decisions for Record {
-    fn run(&mut self, id: &JobId) {
-        self.0.push(Act::Run(id.clone()));
-    }
+    record!(run => Run, write_off => WriteOff, skip_call => Skip, stop => Stop, share => Share, forget => Forget,);
     fn bounce(&mut self, id: &JobId, _: bool, back_in: Span) {
         self.0.push(Act::Bounce(id.clone(), back_in));
     }
-    fn write_off(&mut self, id: &JobId) {
-        self.0.push(Act::WriteOff(id.clone()));
-    }
     fn call(&mut self, id: &JobId, within: Span) {
         self.0.push(Act::Call(id.clone(), within));
     }
-    fn skip_call(&mut self, id: &JobId) {
-        self.0.push(Act::Skip(id.clone()));
-    }
-    fn stop(&mut self, id: &JobId) {
-        self.0.push(Act::Stop(id.clone()));
-    }
-    fn share(&mut self, id: &JobId) {
-        self.0.push(Act::Share(id.clone()));
-    }
     fn remember(&mut self, id: &JobId, span: Span) {
         self.0.push(Act::Remember(id.clone(), span));
     }
-    fn forget(&mut self, id: &JobId) {
-        self.0.push(Act::Forget(id.clone()));
-    }
     fn say(&mut self, value: f64) {
         self.0.push(Act::Say(value));
     }
--- /dev/null
+++ b/crates/hazelgrade/tests/failures.rs
@@ -0,0 +1,167 @@
+//! One small test for each failure found or foreseen.
+
+mod common;
+
+use common::*;
+use hazelgrade::control::Control;
+use hazelgrade::desk::*;
+use hazelgrade::time::Span;
+
+fn runs(acts: &[Act]) -> usize {
+    acts.iter().filter(|act| matches!(act, Act::Run(_))).count()
+}
+
+fn bounced(acts: &[Act], id: &str) -> bool {
+    acts.iter().any(|act| matches!(act, Act::Bounce(job, _) if **job == *id))
+}
+
+/// Brings `count` jobs to their call at `now`, each after a run of 10 ms.
+fn at_calls(control: &mut Control, now: f64, from: usize, count: usize) -> Vec<Act> {
+    let mut acts = vec![];
+    for number in from..from + count {
+        let id = format!("c{number}");
+        acts.extend(round(control, at(now), |inflow| inflow.arrived(job(&id, at(now)))));
+        acts.extend(round(control, at(now), |inflow| inflow.at_call(&id.as_str().into())));
+    }
+    acts
+}
+
+fn made(acts: &[Act]) -> Vec<JobId> {
+    acts.iter().filter_map(|act| if let Act::Call(id, _) = act { Some(id.clone()) } else { None }).collect()
+}
+
+#[test]
+fn past_the_permits_calls_wait_and_past_the_depth_new_jobs_bounce() {
+    let mut control = setup().control();
+    let acts = at_calls(&mut control, 0.0, 0, 16);
+    assert_eq!(made(&acts).len(), 8, "eight permits at the start");
+    let acts = round(&mut control, at(1.0), |inflow| inflow.arrived(job("late", at(1.0))));
+    let back_in =
+        acts.iter().find_map(|act| if let Act::Bounce(_, back_in) = act { Some(*back_in) } else { None });
+    assert!(back_in.is_some_and(|back_in| back_in > Span::ZERO), "the queue of eight is full: {acts:?}");
+}
+
+/// Foreseen: retries that the depth counts as fresh arrivals. Depth goes by time in calls alone.
+#[test]
+fn retries_do_not_change_the_depth() {
+    let mut control = setup().control();
+    at_calls(&mut control, 0.0, 0, 16);
+    for number in 0..50 {
+        let mut again = job(&format!("r{number}"), at(5.0));
+        again.again = true;
+        let acts = round(&mut control, at(5.0), |inflow| inflow.arrived(again));
+        assert!(bounced(&acts, &format!("r{number}")), "the queue is as full as before");
+    }
+    let acts = round(&mut control, at(100.0), |inflow| {
+        inflow.call_ended(&"c0".into(), Outcome::Completed, ms(100.0))
+    });
+    assert_eq!(made(&acts).len(), 1, "one permit came back");
+    let acts = round(&mut control, at(101.0), |inflow| inflow.arrived(job("new", at(101.0))));
+    assert!(!bounced(&acts, "new"), "the learned depth takes it");
+}
+
+/// Foreseen: a process pause, after which a drain counted over the clock would have shrunk the depth.
+#[test]
+fn a_pause_does_not_shrink_the_depth() {
+    let mut control = setup().control();
+    at_calls(&mut control, 0.0, 0, 8);
+    for number in 0..8 {
+        let id = format!("c{number}");
+        round(&mut control, at(100.0), |inflow| {
+            inflow.call_ended(&id.as_str().into(), Outcome::Completed, ms(100.0))
+        });
+        round(&mut control, at(110.0), |inflow| {
+            inflow.run_ended(&id.as_str().into(), Outcome::Completed, ms(110.0))
+        });
+    }
+    let acts = at_calls(&mut control, 60_000.0, 100, 20);
+    assert!(!acts.iter().any(|act| matches!(act, Act::Bounce(..) | Act::WriteOff(_))), "{acts:?}");
+}
+
+/// Foreseen: long calls hold the permits, so that what queues behind them can't clear within its budget. Such a
+/// job is answered when its goal time has passed, and its call is never made.
+#[test]
+fn a_call_queued_past_its_budget_is_never_made() {
+    let mut control = setup().control();
+    at_calls(&mut control, 0.0, 0, 9);
+    let acts = round(&mut control, at(2100.0), |inflow| inflow.woke(1));
+    assert!(bounced(&acts, "c8"), "{acts:?}");
+    let acts = round(&mut control, at(2200.0), |inflow| {
+        inflow.call_ended(&"c0".into(), Outcome::Completed, ms(2200.0))
+    });
+    assert!(made(&acts).is_empty(), "{acts:?}");
+}
+
+#[test]
+fn a_queued_call_whose_caller_left_is_never_made() {
+    let mut control = setup().control();
+    at_calls(&mut control, 0.0, 0, 10);
+    let acts = round(&mut control, at(50.0), |inflow| {
+        inflow.caller_gone(&"c8".into());
+        inflow.call_ended(&"c0".into(), Outcome::Completed, ms(50.0));
+    });
+    assert_eq!(made(&acts), vec!["c9".into()]);
+}
+
+/// Found on generated days: a numbered job that was on the machine unread together with one that ran.
+#[test]
+fn a_blind_repeat_of_a_numbered_job_is_written_off() {
+    let mut setup = setup();
+    setup.use_cases[0].repeats = Repeats::Numbered;
+    let mut control = setup.control();
+    assert_eq!(runs(&round(&mut control, at(500.0), |inflow| inflow.arrived(job("first", at(0.0))))), 1);
+    let mut again = job("again", at(400.0));
+    again.again = true;
+    let acts = round(&mut control, at(600.0), |inflow| inflow.arrived(again));
+    assert!(acts.contains(&Act::WriteOff("again".into())) && runs(&acts) == 0, "{acts:?}");
+}
+
+/// Found: fast servers queued dozens of calls behind eight permits while the tier below was idle.
+#[test]
+fn permits_grow_while_calls_wait_and_are_fast() {
+    let mut control = setup().control();
+    let mut out = made(&at_calls(&mut control, 0.0, 0, 8));
+    let mut most = 0;
+    for step in 1..60 {
+        let now = 100.0 * f64::from(step);
+        let mut acts = at_calls(&mut control, now, 100 * step as usize, 12);
+        for id in std::mem::take(&mut out) {
+            acts.extend(round(&mut control, at(now), |inflow| {
+                inflow.call_ended(&id, Outcome::Completed, ms(100.0))
+            }));
+            acts.extend(round(&mut control, at(now), |inflow| {
+                inflow.run_ended(&id, Outcome::Completed, ms(120.0))
+            }));
+        }
+        out = made(&acts);
+        out.dedup();
+        most = most.max(out.len());
+    }
+    assert!(most > 8, "{most} calls in hand at the most");
+}
+
+/// Found: while jobs lay unread for seconds, as many ran as ever and kept the cores from reading.
+#[test]
+fn fewer_run_while_jobs_wait_unread() {
+    let fresh = |unread: f64| {
+        let mut control = setup().control();
+        round(&mut control, at(5000.0), |inflow| {
+            (0..12).for_each(|number| inflow.arrived(job(&format!("j{number}"), at(5000.0 - unread))));
+        })
+    };
+    assert_eq!((runs(&fresh(0.0)), runs(&fresh(1500.0))), (6, 2));
+}
+
+#[test]
+fn nothing_runs_that_comes_past_the_grace_and_all_is_answered_before_the_stop() {
+    let mut control = setup().control();
+    let acts = round(&mut control, at(0.0), |inflow| {
+        inflow.arrived(job("early", at(0.0)));
+        inflow.leaving(at(4000.0));
+    });
+    assert!(acts.contains(&Act::Health(false)) && runs(&acts) == 1);
+    let acts = round(&mut control, at(1001.0), |inflow| inflow.arrived(job("late", at(1001.0))));
+    assert!(bounced(&acts, "late") && runs(&acts) == 0);
+    let acts = round(&mut control, at(3900.0), |inflow| inflow.woke(2));
+    assert!(bounced(&acts, "early"), "{acts:?}");
+}
--- a/crates/hazelgrade/tests/rules.rs
+++ b/crates/hazelgrade/tests/rules.rs
@@ -50,12 +50,13 @@
     calls: Vec<(Time, f64)>,
     notice: Option<(Time, Time)>,
     fault: Option<String>,
+    now: Time,
 }
 
 impl World {
-    fn flag(&mut self, broken: bool, what: &str, id: &JobId, now: Time) {
+    fn flag(&mut self, broken: bool, what: &str, id: &JobId) {
         if broken && self.fault.is_none() {
-            self.fault = Some(format!("{what}: job {id} at {} ms", now.as_ms()));
+            self.fault = Some(format!("{what}: job {id} at {} ms", self.now.as_ms()));
         }
     }
 
@@ -76,17 +77,13 @@
         else {
             match act {
                 Act::Wake(at, token) => self.timers.push((*at, *token)),
-                Act::Say(_) if self.setup.callers.signal == Signal::Silent => {
-                    self.flag(true, "said a value where none is used", &"-".into(), now);
-                }
+                Act::Say(_) => self.flag(self.setup.callers.signal == Signal::Silent, "bad say", &"-".into()),
                 _ => {}
             }
             return;
         };
         let (work, fate, below) = (self.pick(50.0, 900.0), self.chance.draw(), self.pick(20.0, 1500.0));
-        let Some(known) = self.jobs.get(id) else {
-            return self.flag(true, "names a job never read", id, now);
-        };
+        let Some(known) = self.jobs.get(id) else { return self.flag(true, "unknown job", id) };
         let case = self.setup.use_cases[known.job.use_case].clone();
         let (stage, request, reached, doubt) = (known.at, known.request, known.job.reached, known.call_doubt);
         let (ran_ever, repeats) = (known.ran_ever, known.job.repeats.is_some());
@@ -97,42 +94,27 @@
         };
         match act {
             Act::Run(_) => {
-                self.flag(stage != At::Held, "ran what is not held", id, now);
-                self.flag(ran_before, "ran twice", id, now);
-                let late =
-                    self.notice.is_some_and(|(notice, _)| reached > notice + self.setup.promises.drain_grace);
-                self.flag(late, "ran what came past the grace", id, now);
-                if case.repeats == Repeats::Numbered {
-                    self.ran.entry(request).or_insert(reached);
-                }
+                self.flag(stage != At::Held, "ran what is not held", id);
+                self.flag(ran_before, "ran twice", id);
+                let grace = self.setup.promises.drain_grace;
+                let late = self.notice.is_some_and(|(notice, _)| reached > notice + grace);
+                self.flag(late, "ran what came past the grace", id);
+                self.ran.entry(request).or_insert(reached);
             }
             Act::Bounce(..) | Act::WriteOff(_) => {
-                let owed = self.jobs[id].owed;
-                self.flag(!owed, "answered twice", id, now);
-                let turned_away = matches!(act, Act::Bounce(..));
-                self.flag(
-                    turned_away && (ran_before || ran_ever && case.repeats != Repeats::Reissuable),
-                    "bounced what ran",
-                    id,
-                    now,
-                );
-                let honest = now <= self.jobs[id].due + self.setup.promises.answer_slack;
-                self.flag(!honest, "answered late", id, now);
+                self.flag(!self.jobs[id].owed, "answered twice", id);
+                let once_ran = ran_before || ran_ever && case.repeats != Repeats::Reissuable;
+                self.flag(matches!(act, Act::Bounce(..)) && once_ran, "bounced what ran", id);
+                let last = self.jobs[id].due + self.setup.promises.answer_slack;
+                self.flag(now > last, "answered late", id);
             }
             Act::Call(..) => {
-                self.flag(doubt && case.repeats != Repeats::Reissuable, "called again in doubt", id, now);
-                self.flag(!case.calls || stage != At::Call, "called when not at a call", id, now);
+                self.flag(doubt && case.repeats != Repeats::Reissuable, "called again in doubt", id);
+                self.flag(!case.calls || stage != At::Call, "called when not at a call", id);
             }
-            Act::Skip(_) => {
-                self.flag(case.part_without_call <= 0.0, "left out a call that earns nothing", id, now)
-            }
-            Act::Stop(_) => self.flag(
-                self.setup.machine.stopping == Stopping::Never,
-                "stopped where it is a fault",
-                id,
-                now,
-            ),
-            Act::Share(_) => self.flag(!repeats, "shared without a job to share", id, now),
+            Act::Skip(_) => self.flag(case.part_without_call <= 0.0, "bad skip", id),
+            Act::Stop(_) => self.flag(self.setup.machine.stopping == Stopping::Never, "bad stop", id),
+            Act::Share(_) => self.flag(!repeats, "shared without a job to share", id),
             _ => {}
         }
         let Some(known) = self.jobs.get_mut(id) else { return };
@@ -142,17 +124,12 @@
             }
             Act::Bounce(..) | Act::WriteOff(_) => {
                 known.owed = false;
-                if matches!(known.at, At::Held | At::Shared) {
-                    known.at = At::Over;
-                }
+                known.at = if matches!(known.at, At::Held | At::Shared) { At::Over } else { known.at };
             }
             Act::Call(_, within) if known.at == At::Call => {
                 let given_up = now + *within;
-                known.at = At::Below {
-                    since: now,
-                    ends: now + ms(if fate < 0.1 { below * 20.0 } else { below }),
-                    given_up,
-                };
+                let ends = now + ms(if fate < 0.1 { below * 20.0 } else { below });
+                known.at = At::Below { since: now, ends, given_up };
             }
             Act::Skip(_) if known.at == At::Call => known.at = At::Cores(now + ms(work)),
             Act::Stop(_) if matches!(known.at, At::Cores(_)) => known.at = At::Cores(now),
@@ -211,10 +188,10 @@
         });
         let lost = lost.map(|known| known.job.id.clone());
         let none: JobId = "-".into();
-        self.flag(memory_gone, "memory", &none, now);
-        self.flag(crowded, "crowd", &none, now);
-        self.flag(flooded, "calls in hand", &none, now);
-        self.flag(lost.is_some(), "no answer in time", lost.as_ref().unwrap_or(&none), now);
+        self.flag(memory_gone, "memory", &none);
+        self.flag(crowded, "crowd", &none);
+        self.flag(flooded, "calls in hand", &none);
+        self.flag(lost.is_some(), "no answer in time", lost.as_ref().unwrap_or(&none));
     }
 }
 
@@ -254,6 +231,7 @@
         calls: vec![],
         notice: None,
         fault: None,
+        now: at(0.0),
     }
 }
 
@@ -322,6 +300,7 @@
                 .filter(|known| known.owed)
                 .for_each(|known| known.due = known.due.max(paused_until));
         }
+        world.now = now;
         let acts = events(&mut world, &mut control, now, leaves).unwrap_or_default();
         for act in &acts {
             world.apply(act, now);
