--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -86,7 +86,7 @@
     /// A call went through. While jobs wait and calls take about what they take at best, the dependency has
     /// room and the permits grow; while calls take much longer, they shrink to half the start at the least,
     /// so that what lies below is not pushed further down by whatever made it slow.
-    fn tune(&mut self, now: Time, turned_back: bool) {
+    fn tune(&mut self, now: Time) {
         // A mean over fewer calls than the start of the permits is chance.
         let start = self.below.share.unwrap_or(UNTOLD_PERMITS);
         let enough = self.latency.count(now) >= start.max(UNTOLD_PERMITS);
@@ -94,14 +94,12 @@
         let best = self.best.map_or(mean, |best| (best * (1.0 + 0.002 / self.permits)).min(mean));
         self.best = Some(best);
         let most = self.below.share.unwrap_or(MOST_PERMITS);
-        if turned_back {
-            self.permits -= 0.5;
-        } else if mean > best * CALLS_CROWDED {
+        if mean > best * CALLS_CROWDED {
             self.permits -= 0.5 / self.permits;
         } else if !self.queue.is_empty() && mean < best * (1.0 + CALLS_CROWDED) / 2.0 {
             self.permits += 1.0 / self.permits;
         }
-        self.permits = self.permits.clamp(1.0_f64.min(start), most);
+        self.permits = self.permits.clamp((start / 2.0).min(most), most);
     }
 
     /// Calls a second that leave what lies below: from the time that calls take, not from counts over the
@@ -355,8 +353,8 @@
         control.gate.over(now, took, outcome == Outcome::Overdue);
         if !outcome.never_ran() {
             control.gate.latency.learn(now, took);
+            control.gate.tune(now);
         }
-        control.gate.tune(now, matches!(outcome, Outcome::Full | Outcome::Overdue));
         if outcome == Outcome::Completed {
             (held.stage, held.since, held.call_tries) = (Stage::OnCores, now, 0);
         } else {
