--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -26,8 +26,8 @@
 const MOST_PERMITS: f64 = 4.0 * UNTOLD_PERMITS;
 /// Calls that take this many times what they took at best show that what lies below is crowded.
 const CALLS_CROWDED: f64 = 4.0;
-/// Of the mean core time, what a job keeps to finish without its call: more than the mean, as runs vary.
-const FINISH_PART: f64 = 1.4;
+/// Times the mean core time that a job keeps to finish without a call, once calls take twice their best.
+const FINISH_PART: f64 = 2.0;
 /// What is learned fades over this many of the shortest goal times: some dozens of jobs, some seconds.
 const MEMORY_IN_GOALS: f64 = 2.0;
 /// Part of the shortest goal time that jobs may wait on average before surplus is kept away.
@@ -161,8 +161,7 @@
 }
 
 impl RunTrial {
-    /// More must get done by this part for a step to be kept: less is chance.
-    const GAIN: f64 = 0.05;
+    const GAIN: f64 = 0.05; // more must get done by this part for a step to be kept: less is chance
     /// A step is judged after this many jobs for each that may run.
     const JUDGED_AFTER: f64 = 4.0;
 
@@ -182,8 +181,7 @@
             let better = self.before.is_none_or(|before| rate >= before * (1.0 + Self::GAIN));
             self.step = if better { self.step } else { -self.step };
             self.limit += self.step;
-            self.before = better.then_some(rate);
-            (self.done, self.busy) = (0.0, Span::ZERO);
+            (self.before, self.done, self.busy) = (better.then_some(rate), 0.0, Span::ZERO);
         }
         if self.limit + self.step < least || self.limit + self.step > most {
             self.step = -self.step;
@@ -500,13 +498,15 @@
         if self.case(held).late_part > 0.0 { last } else { last.min(held.goal) }
     }
 
-    /// A call is waited for until then. Exception: one that may be left out leaves time to finish without
-    /// it. Guards against anything that makes calls late; hurts where calls just made it in time.
+    /// Exception: while calls are slow, one that may be left out is waited for only as long as leaves time to
+    /// finish without it. Guards against anything that makes calls late; hurts where they just made it.
     fn call_until(&mut self, now: Time, id: &JobId) -> Time {
         let Some(held) = self.jobs.get(id) else { return now };
         let (until, use_case) = (self.useless_from(held), held.job.use_case);
-        let may_skip = self.use_cases[use_case].part_without_call > 0.0;
-        until - if may_skip { self.core_time(now, use_case) * FINISH_PART } else { Span::ZERO }
+        let slow = self.gate.best.zip(self.gate.latency.mean(now));
+        let slow = slow.map_or(0.0, |(best, mean)| (mean.as_ms() / best.max(0.001) - 1.0).clamp(0.0, 1.0));
+        let slow = if self.use_cases[use_case].part_without_call > 0.0 { slow } else { 0.0 };
+        until - self.core_time(now, use_case) * (FINISH_PART * slow)
     }
 
     /// The wait that the call queue's budget and depth go by.
