Back-in times grow as the openness falls

Cause: bounces named the time the short hold clears in, a fraction of a second, so surplus came back and was read again. Holds against any surplus that heeds advice; could keep callers off for up to the longest time heeded after a burst has passed.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -162,8 +162,7 @@
 
 impl RunTrial {
     const GAIN: f64 = 0.05; // more must get done by this part for a step to be kept: less is chance
-    /// A step is judged after this many jobs for each that may run.
-    const JUDGED_AFTER: f64 = 4.0;
+    const JUDGED_AFTER: f64 = 4.0; // a step is judged after this many jobs for each that may run
 
     fn ended(&mut self, weight: f64) {
         if self.jobs_wait {
@@ -533,8 +532,9 @@
         if let Some(back_in) = back_in.filter(|_| may_bounce) {
             let crowded = self.tries_again.read(now) > 0.2 * self.tries.read(now);
             let not_elsewhere = !elsewhere || held.job.again || crowded;
-            // Spread by chance, so that what was bounced together doesn't come back together.
-            let back_in = (back_in * (0.75 + 0.5 * self.chance.draw())).min(self.callers.longest_back_in);
+            // Spread by chance, so as not to come back together; longer the more there is to keep away.
+            let back_in = back_in * ((0.75 + 0.5 * self.chance.draw()) / self.openness.open.min(1.0));
+            let back_in = back_in.min(self.callers.longest_back_in);
             out.bounce(id, not_elsewhere, back_in);
         } else {
             out.write_off(id);
