--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -455,7 +455,7 @@
             }
         }
         for id in self.pick(|held| self.useless_from(held) <= now) {
-            let back_in = self.wait_here(now);
+            let back_in = self.hold_clears_in(now);
             self.give_up(now, &id, self.leaving.is_some(), Some(back_in), out);
         }
         self.make_calls(now, out);
@@ -687,10 +687,10 @@
         self.on_cores[case].mean(now).or_else(|| self.any.mean(now)).unwrap_or(Span::from_ms(1.0))
     }
 
-    fn wait_here(&mut self, now: Time) -> Span {
+    fn hold_clears_in(&mut self, now: Time) -> Span {
         let held = self.jobs.values().filter(|held| held.stage == Stage::Held).count() as f64;
         let mean = self.any.mean(now).unwrap_or(Span::ZERO);
-        mean * (self.stretch(now) * held / self.trial.limit) + self.unread.mean(now).unwrap_or(Span::ZERO)
+        mean * (self.stretch(now) * held / self.trial.limit)
     }
 
     /// Runs the hold in the order of what it earns for its time on the cores. What can't be done by then is
@@ -759,7 +759,7 @@
                 + self.whole[use_case].mean(now).unwrap_or(Span::ZERO).max(core_time);
             let patience = self.use_cases[use_case].goal * HOLD_PART;
             if done > self.useless_from(&self.jobs[&id]) || ahead * (1.0 / limit) > patience {
-                let back_in = self.wait_here(now);
+                let back_in = self.hold_clears_in(now);
                 self.give_up(now, &id, true, Some(back_in), out);
                 ahead = ahead.less(core_time);
             }
@@ -779,7 +779,7 @@
         ids.splice(0..0, self.pick(stoppable));
         while let Some(id) = ids.pop().filter(|_| over > 0.0) {
             over -= self.kb(&self.jobs[&id]);
-            let back_in = self.wait_here(now);
+            let back_in = self.hold_clears_in(now);
             self.give_up(now, &id, true, Some(back_in), out);
         }
     }
@@ -790,7 +790,8 @@
             return;
         }
         self.openness.next = Some(now + self.callers.heeded_for * 0.1);
-        let wait = self.wait_here(now) / (self.shortest_goal * WAIT_PART);
+        let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
+        let wait = (self.hold_clears_in(now) + unread) / (self.shortest_goal * WAIT_PART);
         let wait = if self.leaving.is_some() { f64::INFINITY } else { wait };
         let outstanding = 4.0 * self.trial.limit / self.callers.count.max(1.0);
         let value = self.openness.steer(wait, self.callers.signal, outstanding);
