Trial of runs goes up while cores idle and jobs wait, else down

A step is still undone if less gets done. Guards against jobs heavier than usual and disk waits of any length; could hurt where work hangs off the cores. Also: the margin before a stop is a fifth of the grace (found by the model: a pause of 150 ms at the stop left a job unanswered).

--- a/crates/hazelgrade-wirehost/src/wire.rs
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -136,9 +136,9 @@
         }
         "timeout_fired" => {
             let token = fields.whole("cookie")?;
-            gauges(fields.text("serverStats")?)?;
+            let cores_used = cores_used(fields.text("serverStats")?)?;
             fields.end()?;
-            inflow.woke(token);
+            inflow.woke(token, cores_used);
         }
         _ => return fault("message", "a known message name"),
     }
@@ -186,14 +186,17 @@
     Ok(Job { id, use_case, customer, reached: now - lay, waits_until, work, held_kb, rank, again, repeats })
 }
 
-/// The gauges are checked for their form; no decision goes by them.
-fn gauges(text: &str) -> Result<(), Fault> {
+/// Checks the form of all gauges and picks the part of the cores that is busy, where it is among them.
+fn cores_used(text: &str) -> Result<Option<f64>, Fault> {
+    let mut used = None;
     for pair in text.split(',').filter(|pair| !matches!(*pair, "" | "-")) {
-        if pair.split_once(':').is_none_or(|(_, value)| value.parse::<f64>().is_err()) {
+        let value = pair.split_once(':').and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
+        let Some((name, value)) = value else {
             return fault("serverStats", "name:value pairs with numbers for values");
-        }
+        };
+        used = if name == "core_use" { Some(value).filter(|value| value.is_finite()) } else { used };
     }
-    Ok(())
+    Ok(used)
 }
 
 /// A part of the settings, with the path to it for messages.
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -13,11 +13,13 @@
 //! 6. The rules' guards: cut-off, drain, memory, crowd, and entries for numbered jobs.
 
 use crate::chance::Chance;
-use crate::decay::{DecaySum, Pace};
+use crate::decay::{DecaySum, Mean, Pace};
 use crate::desk::*;
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
 
+type Out<'a> = &'a mut dyn Decisions;
+
 /// The post's permits, for a tier below that tells no share.
 const UNTOLD_PERMITS: f64 = 8.0;
 /// Part of a limit of the rules that is used at most: what is read or comes back meanwhile needs the rest.
@@ -148,7 +150,9 @@
     }
 }
 
-/// How many jobs run at once: a step up or down, kept if more gets done while jobs wait.
+/// How many jobs run at once: a step up or down, undone if less gets done. While jobs wait and cores stand
+/// idle it is a step up, else down: runs that only share the cores all end later. Guards against jobs that
+/// wait for disks or are heavier than usual; it could hurt where work hangs without using the cores.
 #[derive(Default)]
 struct RunTrial {
     limit: f64,
@@ -161,8 +165,9 @@
 }
 
 impl RunTrial {
-    const GAIN: f64 = 0.05; // more must get done by this part for a step to be kept: less is chance
+    const LOSS: f64 = 0.1; // less by this part for a step to be undone: smaller differences are chance
     const JUDGED_AFTER: f64 = 4.0; // a step is judged after this many jobs for each that may run
+    const BUSY: f64 = 0.95; // cores used by this part or more are taken as busy
 
     fn ended(&mut self, weight: f64) {
         if self.jobs_wait {
@@ -170,20 +175,18 @@
         }
     }
 
-    fn settle(&mut self, now: Time, jobs_wait: bool, least: f64, most: f64) {
+    fn settle(&mut self, now: Time, jobs_wait: bool, used: Option<f64>, least: f64, most: f64) {
         if self.jobs_wait {
             self.busy += self.checked.map_or(Span::ZERO, |checked| now.since(checked));
         }
         (self.checked, self.jobs_wait) = (Some(now), jobs_wait);
         if self.done >= Self::JUDGED_AFTER * self.limit {
             let rate = self.done / self.busy.as_ms().max(1.0);
-            let better = self.before.is_none_or(|before| rate >= before * (1.0 + Self::GAIN));
-            self.step = if better { self.step } else { -self.step };
+            let worse = self.before.is_some_and(|before| rate < before * (1.0 - Self::LOSS));
+            let towards = if used.is_none_or(|used| used < Self::BUSY) { 1.0 } else { -1.0 };
+            self.step = if worse { -self.step } else { towards };
             self.limit += self.step;
-            (self.before, self.done, self.busy) = (better.then_some(rate), 0.0, Span::ZERO);
-        }
-        if self.limit + self.step < least || self.limit + self.step > most {
-            self.step = -self.step;
+            (self.before, self.done, self.busy) = ((!worse).then_some(rate), 0.0, Span::ZERO);
         }
         self.limit = self.limit.clamp(least, most.max(least));
     }
@@ -256,6 +259,7 @@
     on_cores: Vec<Pace>, // by use case: time on the cores
     whole: Vec<Pace>,    // by use case: time from start to end
     any: Pace,
+    cores_used: Mean, // part of the cores that was busy while jobs waited
     unread: Pace,
     tries: DecaySum,
     tries_again: DecaySum,
@@ -289,6 +293,7 @@
         let stretched = job.work.map_or(Span::ZERO, |work| work * case.goal_per_work);
         let goal = (job.reached + case.goal + stretched).min(due);
         control.numbers += 1;
+        control.fresh.push(job.id.clone());
         let held = InHand {
             order: control.numbers,
             stage: Stage::Held,
@@ -302,7 +307,6 @@
             call_unsure: false,
             job,
         };
-        control.fresh.push(held.job.id.clone());
         control.jobs.insert(held.job.id.clone(), held);
     }
 
@@ -373,7 +377,10 @@
         self.control.leaving.get_or_insert((self.now, stopped_at));
     }
 
-    pub fn woke(&mut self, token: u64) {
+    pub fn woke(&mut self, token: u64, cores_used: Option<f64>) {
+        if let Some(used) = cores_used.filter(|_| self.control.trial.jobs_wait) {
+            self.control.cores_used.learn(self.now, used);
+        }
         self.control.alarm = self.control.alarm.filter(|(_, set)| *set != token);
     }
 }
@@ -411,11 +418,8 @@
                 past: Vec::new(),
                 latency: Pace::new(fade),
             },
-            trial: RunTrial {
-                limit: (machine.cores * 1.5).floor().max(1.0),
-                step: 1.0,
-                ..RunTrial::default()
-            },
+            trial: RunTrial { limit: (machine.cores * 1.5).floor().max(1.0), ..RunTrial::default() },
+            cores_used: Mean::new(fade),
             quotas: customers.iter().map(|customer| (DecaySum::new(fade), customer.quota)).collect(),
             openness: Openness { open: 1.0, told: None, next: None },
             chance,
@@ -434,7 +438,7 @@
     }
 
     /// One batch: hears all that came in, then writes the decisions.
-    pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: &mut dyn Decisions) {
+    pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: Out) {
         self.started.get_or_insert(now);
         feed(&mut Inflow { control: self, now });
         let good = self.leaving.is_none();
@@ -487,7 +491,7 @@
         let wait = held.due.since(held.job.reached);
         let last = held.due - self.promises.answer_slack.min(wait * 0.1);
         // Answers before a stop are out well before it: a pause of the process may fall there.
-        let margin = (self.promises.drain_grace * 0.1).max(self.machine.tick * 4.0);
+        let margin = (self.promises.drain_grace * 0.2).max(self.machine.tick * 4.0);
         self.leaving.map_or(last, |(_, stop)| last.min(stop - margin))
     }
 
@@ -515,21 +519,14 @@
 
     /// Gives the final answer at once: a bounce with when to come back, or, without that and for a job that
     /// may have had an effect, an error.
-    fn give_up(
-        &mut self,
-        now: Time,
-        id: &JobId,
-        elsewhere: bool,
-        back_in: Option<Span>,
-        out: &mut dyn Decisions,
-    ) {
+    fn give_up(&mut self, now: Time, id: &JobId, elsewhere: bool, back: Option<Span>, out: Out) {
         let blind = self.jobs.get(id).is_some_and(|held| self.blind(held));
         let Some(held) = self.jobs.get_mut(id).filter(|held| !held.answered) else { return };
         held.answered = true;
         let repeats = self.use_cases[held.job.use_case].repeats;
         let may_have_run = held.ran || held.job.repeats.is_some() || blind;
         let may_bounce = repeats == Repeats::Reissuable || !may_have_run;
-        if let Some(back_in) = back_in.filter(|_| may_bounce) {
+        if let Some(back_in) = back.filter(|_| may_bounce) {
             let crowded = self.tries_again.read(now) > 0.1 * self.tries.read(now);
             let not_elsewhere = !elsewhere || held.job.again || crowded;
             // Spread by chance, so as not to come back together; longer the more there is to keep away.
@@ -551,7 +548,7 @@
     }
 
     /// A run that nobody waits for is stopped, where that is allowed and the job may run again.
-    fn stop_unwanted(&self, id: &JobId, out: &mut dyn Decisions) {
+    fn stop_unwanted(&self, id: &JobId, out: Out) {
         let Some(held) = self.jobs.get(id) else { return };
         let may = self.machine.stopping != Stopping::Never && self.case(held).repeats == Repeats::Reissuable;
         if may && held.answered && held.stage == Stage::OnCores {
@@ -560,7 +557,7 @@
     }
 
     /// A job that was just read: linked to the one it repeats, bounced while the call queue is full, or held.
-    fn admit(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
+    fn admit(&mut self, now: Time, id: &JobId, out: Out) {
         let Some(held) = self.jobs.get(id) else { return };
         let (case, job) = (self.case(held).clone(), held.job.clone());
         if case.repeats == Repeats::Numbered {
@@ -600,7 +597,7 @@
     }
 
     /// A running job that is at a call: it waits in the queue, or, when that is full, gets an error.
-    fn meet_call(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
+    fn meet_call(&mut self, now: Time, id: &JobId, out: Out) {
         let Some(held) = self.jobs.get(id).filter(|held| !held.answered) else { return };
         let wait = self.call_wait(now, held);
         let once = self.case(held).repeats != Repeats::Reissuable && held.call_unsure || held.call_tries > 1;
@@ -613,7 +610,7 @@
 
     /// A call that is not made is an error. Exception: where leaving it out still earns something, and the
     /// cores have room, the job goes on.
-    fn no_call(&mut self, now: Time, id: &JobId, out: &mut dyn Decisions) {
+    fn no_call(&mut self, now: Time, id: &JobId, out: Out) {
         self.gate.queue.retain(|queued| queued != id);
         let room = self.crowd(Stage::Calling) < self.crowd_cap(now);
         let Some(held) = self.jobs.get(id) else { return };
@@ -633,7 +630,7 @@
         picked.into_iter().map(|held| held.job.id.clone()).collect()
     }
 
-    fn make_calls(&mut self, now: Time, out: &mut dyn Decisions) {
+    fn make_calls(&mut self, now: Time, out: Out) {
         while self.gate.may_call(now) && self.crowd(Stage::Calling) < self.crowd_cap(now) {
             let Some(id) = self.gate.queue.pop_front() else { break };
             let Some(held) = self.jobs.get(&id).filter(|held| !held.answered) else { continue };
@@ -695,7 +692,7 @@
 
     /// Runs the hold in the order of what it earns for its time on the cores. What can't be done by then is
     /// given up now, so that its caller hears it while there is time to go elsewhere.
-    fn run_held(&mut self, now: Time, out: &mut dyn Decisions) {
+    fn run_held(&mut self, now: Time, out: Out) {
         let mut hold = Vec::new();
         for id in self.pick(|held| held.stage == Stage::Held) {
             let held = &self.jobs[&id];
@@ -764,11 +761,11 @@
                 ahead = ahead.less(core_time);
             }
         }
-        self.trial.settle(now, waiting, least, most);
+        self.trial.settle(now, waiting, self.cores_used.mean(now), least, most);
     }
 
     /// Right after each batch all must fit: what is held goes before what runs, the last read first.
-    fn shed_memory(&mut self, now: Time, out: &mut dyn Decisions) {
+    fn shed_memory(&mut self, now: Time, out: Out) {
         let limit = self.machine.memory_kb * (1.0 + RULE_ROOM) / 2.0;
         let mut over = self.used_kb(now) - limit;
         let may_stop = self.machine.stopping != Stopping::Never;
@@ -785,7 +782,7 @@
     }
 
     /// Steers what is said to callers by how long a job waits here, unread and held, before it runs.
-    fn speak(&mut self, now: Time, out: &mut dyn Decisions) {
+    fn speak(&mut self, now: Time, out: Out) {
         if self.openness.next.is_some_and(|next| now < next) {
             return;
         }
@@ -801,7 +798,7 @@
         }
     }
 
-    fn set_alarm(&mut self, now: Time, out: &mut dyn Decisions) {
+    fn set_alarm(&mut self, now: Time, out: Out) {
         let unanswered = self.jobs.values().filter(|held| !held.answered);
         let next = unanswered.map(|held| self.useless_from(held)).min();
         let mut next = next.into_iter().chain(self.openness.next.filter(|_| !self.jobs.is_empty())).min();
--- a/crates/hazelgrade/src/decay.rs
+++ b/crates/hazelgrade/src/decay.rs
@@ -28,31 +28,49 @@
     }
 }
 
-/// Mean of a length of time, over what ended lately.
+/// Mean of a figure, over what was seen lately.
 #[derive(Clone, Debug)]
-pub struct Pace {
+pub struct Mean {
     total: DecaySum,
     count: DecaySum,
 }
 
+impl Mean {
+    pub fn new(fade: Span) -> Mean {
+        Mean { total: DecaySum::new(fade), count: DecaySum::new(fade) }
+    }
+
+    pub fn learn(&mut self, now: Time, figure: f64) {
+        self.total.add(now, figure);
+        self.count.add(now, 1.0);
+    }
+
+    /// Nothing before the first sample; after idleness the last mean still stands.
+    pub fn mean(&mut self, now: Time) -> Option<f64> {
+        let (total, count) = (self.total.read(now), self.count.read(now));
+        (count > f64::MIN_POSITIVE).then(|| total / count)
+    }
+}
+
+/// Mean of a length of time, over what ended lately.
+#[derive(Clone, Debug)]
+pub struct Pace(Mean);
+
 impl Pace {
     pub fn new(fade: Span) -> Pace {
-        Pace { total: DecaySum::new(fade), count: DecaySum::new(fade) }
+        Pace(Mean::new(fade))
     }
 
     pub fn learn(&mut self, now: Time, span: Span) {
-        self.total.add(now, span.as_ms());
-        self.count.add(now, 1.0);
+        self.0.learn(now, span.as_ms());
     }
 
     /// How many samples still count.
     pub fn count(&mut self, now: Time) -> f64 {
-        self.count.read(now)
+        self.0.count.read(now)
     }
 
-    /// Nothing before the first sample; after idleness the last mean still stands.
     pub fn mean(&mut self, now: Time) -> Option<Span> {
-        let (total, count) = (self.total.read(now), self.count.read(now));
-        (count > f64::MIN_POSITIVE).then(|| Span::from_ms(total / count))
+        self.0.mean(now).map(Span::from_ms)
     }
 }
--- a/crates/hazelgrade/tests/common/mod.rs
+++ b/crates/hazelgrade/tests/common/mod.rs
@@ -71,45 +71,31 @@
 }
 
 pub fn setup() -> Setup {
-    let case = UseCase {
-        goal: ms(2000.0),
-        goal_per_work: 0.0,
-        cut_off: ms(6000.0),
-        earnings: 1.0,
-        late_part: 0.0,
-        repeats: Repeats::Reissuable,
-        window: ms(3000.0),
-        calls: true,
-        part_without_call: 0.0,
-    };
+    let (goal, goal_per_work, cut_off, window) = (ms(2000.0), 0.0, ms(6000.0), ms(3000.0));
+    let (earnings, late_part, part_without_call) = (1.0, 0.0, 0.0);
+    let (repeats, calls) = (Repeats::Reissuable, true);
+    let (cores, memory_kb, running_factor, entry_kb) = (4.0, 20_000.0, 8.0, 10.0);
+    let (cold, stopping, tick) = (false, Stopping::Drops, ms(10.0));
+    let (answer_slack, cold_from, warm_up) = (ms(60.0), 0.2, ms(8000.0));
+    let (drain_grace, crowd_per_core) = (ms(1000.0), 4.0);
+    let (count, signal, heeded_for, longest_back_in) = (4.0, Signal::Weight, ms(1000.0), ms(1000.0));
+    let (mark_again, fleet, over_quota_part) = (true, 5.0, 0.1);
     Setup {
-        use_cases: vec![case],
-        machine: Machine {
-            cores: 4.0,
-            memory_kb: 20_000.0,
-            running_factor: 8.0,
-            entry_kb: 10.0,
-            cold: false,
-            stopping: Stopping::Drops,
-            tick: ms(10.0),
-        },
-        promises: Promises {
-            answer_slack: ms(60.0),
-            cold_from: 0.2,
-            warm_up: ms(8000.0),
-            drain_grace: ms(1000.0),
-            crowd_per_core: 4.0,
-        },
+        use_cases: vec![UseCase {
+            goal,
+            goal_per_work,
+            cut_off,
+            earnings,
+            late_part,
+            repeats,
+            window,
+            calls,
+            part_without_call,
+        }],
+        machine: Machine { cores, memory_kb, running_factor, entry_kb, cold, stopping, tick },
+        promises: Promises { answer_slack, cold_from, warm_up, drain_grace, crowd_per_core },
         below: Below { share: None, share_over: ms(5000.0), linger: ms(200.0) },
-        callers: Callers {
-            count: 4.0,
-            signal: Signal::Weight,
-            heeded_for: ms(1000.0),
-            longest_back_in: ms(1000.0),
-            mark_again: true,
-            fleet: 5.0,
-            over_quota_part: 0.1,
-        },
+        callers: Callers { count, signal, heeded_for, longest_back_in, mark_again, fleet, over_quota_part },
     }
 }
 
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -84,7 +84,7 @@
 fn a_call_queued_past_its_budget_is_never_made() {
     let mut control = setup().control();
     at_calls(&mut control, 0.0, 0, 9);
-    let acts = round(&mut control, at(2100.0), |inflow| inflow.woke(1));
+    let acts = round(&mut control, at(2100.0), |inflow| inflow.woke(1, None));
     assert!(bounced(&acts, "c8"), "{acts:?}");
     let acts = round(&mut control, at(2200.0), |inflow| {
         inflow.call_ended(&"c0".into(), Outcome::Completed, ms(2200.0))
@@ -127,10 +127,8 @@
         let mut acts = at_calls(&mut control, now, 100 * step as usize, 12);
         for id in std::mem::take(&mut out) {
             acts.extend(round(&mut control, at(now), |inflow| {
-                inflow.call_ended(&id, Outcome::Completed, ms(100.0))
-            }));
-            acts.extend(round(&mut control, at(now), |inflow| {
-                inflow.run_ended(&id, Outcome::Completed, ms(120.0))
+                inflow.call_ended(&id, Outcome::Completed, ms(100.0));
+                inflow.run_ended(&id, Outcome::Completed, ms(120.0));
             }));
         }
         out = made(&acts);
@@ -162,6 +160,30 @@
     assert!(acts.contains(&Act::Health(false)) && runs(&acts) == 1);
     let acts = round(&mut control, at(1001.0), |inflow| inflow.arrived(job("late", at(1001.0))));
     assert!(bounced(&acts, "late") && runs(&acts) == 0);
-    let acts = round(&mut control, at(3900.0), |inflow| inflow.woke(2));
+    let acts = round(&mut control, at(3900.0), |inflow| inflow.woke(2, None));
     assert!(bounced(&acts, "early"), "{acts:?}");
 }
+
+/// Found: on small machines the trial of runs wandered by chance; jobs that only shared the cores ended late.
+#[test]
+fn runs_go_up_while_cores_idle_and_down_while_they_are_busy() {
+    let run_at_last = |used: f64| {
+        let mut setup = setup();
+        setup.use_cases[0].calls = false;
+        let (mut control, mut last) = (setup.control(), vec![]);
+        for step in 1..60 {
+            let now = at(100.0 * f64::from(step));
+            let acts = round(&mut control, now, |inflow| {
+                inflow.woke(0, Some(used));
+                last.iter().for_each(|id| inflow.run_ended(id, Outcome::Completed, ms(100.0)));
+                (0..12).for_each(|number| inflow.arrived(job(&format!("j{step}-{number}"), now)));
+            });
+            last = acts
+                .iter()
+                .filter_map(|a| if let Act::Run(id) = a { Some(id.clone()) } else { None })
+                .collect();
+        }
+        last.len()
+    };
+    assert!(run_at_last(0.5) > run_at_last(1.0), "{} {}", run_at_last(0.5), run_at_last(1.0));
+}
--- a/crates/hazelgrade/tests/rules.rs
+++ b/crates/hazelgrade/tests/rules.rs
@@ -275,19 +275,17 @@
             (job.use_case, job.again) = (use_case, id_before.is_some() && world.setup.callers.mark_again);
             (job.repeats, job.held_kb) = (linked, world.pick(5.0, 40.0));
             let due = now + world.setup.use_cases[use_case].cut_off;
-            let (read, at, started) = (now + ms(wait), At::Unread, now);
-            let (owed, calls_left) = (true, (world.chance.draw() * 3.0) as u32);
             let known = Known {
                 job,
                 request,
-                read,
-                at,
+                read: now + ms(wait),
+                at: At::Unread,
                 due,
-                owed,
-                calls_left,
+                owed: true,
+                calls_left: (world.chance.draw() * 3.0) as u32,
                 call_doubt: false,
                 ran_ever: false,
-                started,
+                started: now,
             };
             world.jobs.insert(id, known);
         }
@@ -297,11 +295,8 @@
         if world.chance.draw() < 0.001 {
             paused_until = now + ms(world.pick(50.0, 150.0));
             // A delay of a frozen process is not counted against it.
-            world
-                .jobs
-                .values_mut()
-                .filter(|known| known.owed)
-                .for_each(|known| known.due = known.due.max(paused_until));
+            let owed = world.jobs.values_mut().filter(|known| known.owed);
+            owed.for_each(|known| known.due = known.due.max(paused_until));
         }
         world.now = now;
         let acts = events(&mut world, &mut control, now, leaves).unwrap_or_default();
@@ -403,13 +398,13 @@
     }
     Some(round(control, now, |inflow| {
         inflow.run_ended(&"stranger".into(), Outcome::Moot, Span::ZERO); // odd but legal, as is the next
-        inflow.woke(u64::MAX);
+        inflow.woke(u64::MAX, None);
         arrived.into_iter().for_each(|job| inflow.arrived(job));
         ended.iter().for_each(|(id, outcome, took)| inflow.run_ended(id, *outcome, *took));
         at_call.iter().for_each(|id| inflow.at_call(id));
         returned.iter().for_each(|(id, outcome, took)| inflow.call_ended(id, *outcome, *took));
         gone.iter().for_each(|id| inflow.caller_gone(id));
-        fired.iter().for_each(|token| inflow.woke(*token));
+        fired.iter().for_each(|token| inflow.woke(*token, None));
         if let Some(stop) = leaving {
             inflow.leaving(stop);
         }
