--- a/crates/hazelgrade-wirehost/src/wire.rs
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -334,7 +334,6 @@
         },
         heeded_for: specifics.span("saidFor", 1000.0)?,
         longest_back_in: if advice { ceilings.span("maxRetryAfter", 0.0)? } else { Span::ZERO },
-        connections_idle: specifics.span("idle", 0.0)?,
         mark_again: Part::of(&settings, "clients").truth("marksRetry")?,
         fleet: Part { value: Some(&settings), path: "" }.number("fleetSize", 1.0)?,
         over_quota_part: Part { value: Some(&settings), path: "" }.number("overShareWorth", 1.0)?,
@@ -401,10 +400,6 @@
         self.line("set_health", "", format_args!("{}\t{}", u8::from(from_store), u8::from(good)));
     }
 
-    fn keep_idle(&mut self, span: Span) {
-        self.line("idle", "", format_args!("{}", span.as_ms()));
-    }
-
     fn wake_at(&mut self, at: Time, token: u64) {
         self.line("timer", "", format_args!("{}\t{token}", at.as_ms()));
     }
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -444,7 +444,6 @@
         let good = self.leaving.is_none();
         if self.told_good.replace(good) != Some(good) {
             out.health(good, true);
-            out.keep_idle(self.callers.connections_idle * 0.4);
         }
         for id in std::mem::take(&mut self.fresh) {
             match self.jobs.get(&id).map(|held| held.stage) {
--- a/crates/hazelgrade/src/desk.rs
+++ b/crates/hazelgrade/src/desk.rs
@@ -123,8 +123,6 @@
     /// How long they keep a value in mind.
     pub heeded_for: Span,
     pub longest_back_in: Span,
-    /// After this time they close a connection that carries nothing.
-    pub connections_idle: Span,
     pub mark_again: bool,
     /// Servers beside this one, itself included, when it started.
     pub fleet: f64,
@@ -167,8 +165,6 @@
     fn forget(&mut self, id: &JobId);
     fn say(&mut self, value: f64);
     fn health(&mut self, good: bool, from_store: bool);
-    /// Connections that have carried nothing for this long are closed.
-    fn keep_idle(&mut self, span: Span);
     fn wake_at(&mut self, at: Time, token: u64);
     fn note(&mut self, text: &str);
 }
--- a/crates/hazelgrade/tests/common/mod.rs
+++ b/crates/hazelgrade/tests/common/mod.rs
@@ -47,7 +47,6 @@
     fn health(&mut self, good: bool, _: bool) {
         self.0.push(Act::Health(good));
     }
-    fn keep_idle(&mut self, _: Span) {}
     fn wake_at(&mut self, at: Time, token: u64) {
         self.0.push(Act::Wake(at, token));
     }
@@ -80,7 +79,7 @@
     let (answer_slack, cold_from, warm_up) = (ms(60.0), 0.2, ms(8000.0));
     let (drain_grace, crowd_per_core) = (ms(1000.0), 4.0);
     let (count, signal, heeded_for, longest_back_in) = (4.0, Signal::Weight, ms(1000.0), ms(1000.0));
-    let (connections_idle, mark_again, fleet, over_quota_part) = (ms(15_000.0), true, 5.0, 0.1);
+    let (mark_again, fleet, over_quota_part) = (true, 5.0, 0.1);
     Setup {
         use_cases: vec![UseCase {
             goal,
@@ -96,16 +95,7 @@
         machine: Machine { cores, memory_kb, running_factor, entry_kb, cold, stopping, tick },
         promises: Promises { answer_slack, cold_from, warm_up, drain_grace, crowd_per_core },
         below: Below { share: None, share_over: ms(5000.0), linger: ms(200.0) },
-        callers: Callers {
-            count,
-            signal,
-            heeded_for,
-            longest_back_in,
-            connections_idle,
-            mark_again,
-            fleet,
-            over_quota_part,
-        },
+        callers: Callers { count, signal, heeded_for, longest_back_in, mark_again, fleet, over_quota_part },
     }
 }
 
