--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -755,7 +755,8 @@
                 + ahead * (1.0 / limit)
                 + self.whole[use_case].mean(now).unwrap_or(Span::ZERO).max(core_time);
             let patience = self.use_cases[use_case].goal * HOLD_PART;
-            if done > self.useless_from(&self.jobs[&id]) || ahead * (1.0 / limit) > patience {
+            let starts_in = ahead.less(core_time) * (1.0 / limit);
+            if done > self.useless_from(&self.jobs[&id]) || starts_in > patience {
                 let back_in = self.hold_clears_in(now);
                 self.give_up(now, &id, true, Some(back_in), out);
                 ahead = ahead.less(core_time);
