--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -750,16 +750,14 @@
             }
             waiting = true;
             let core_time = self.core_time(now, use_case) * stretch;
-            ahead += core_time;
-            let done = now
-                + ahead * (1.0 / limit)
-                + self.whole[use_case].mean(now).unwrap_or(Span::ZERO).max(core_time);
+            let starts_in = ahead * (1.0 / limit);
+            let done = now + starts_in + self.whole[use_case].mean(now).unwrap_or(Span::ZERO).max(core_time);
             let patience = self.use_cases[use_case].goal * HOLD_PART;
-            let starts_in = ahead.less(core_time) * (1.0 / limit);
             if done > self.useless_from(&self.jobs[&id]) || starts_in > patience {
                 let back_in = self.hold_clears_in(now);
                 self.give_up(now, &id, true, Some(back_in), out);
-                ahead = ahead.less(core_time);
+            } else {
+                ahead += core_time;
             }
         }
         self.trial.settle(now, waiting, self.cores_used.mean(now), least, most);
