The age of a few runs is weighed against the mean before it counts as slowness

As many runs of the mean length as twice the cores are counted in. Guards against any chance among few runs; hurts where a server slows suddenly: it is seen a little later.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -677,7 +677,9 @@
         let ages =
             self.jobs.values().filter(|h| h.stage == Stage::OnCores).map(|h| h.on_cores + now.since(h.since));
         let (count, total) = ages.fold((0.0, 0.0), |(n, sum), age| (n + 1.0, sum + age.as_ms()));
-        if count < self.machine.cores { 1.0 } else { (total / count / mean.as_ms().max(0.001)).max(1.0) }
+        // A few runs may be long by chance: as many again of the mean length are counted in.
+        let few = 2.0 * self.machine.cores;
+        ((total / mean.as_ms().max(0.001) + few) / (count + few)).max(1.0)
     }
 
     fn core_time(&mut self, now: Time, case: usize) -> Span {
