Where retries are unmarked, own bounces tell that the fleet is crowded

Cause: with unmarked retries every bounce said "elsewhere", and each job walked on through up to a dozen full servers, a read and often a new connection each. From two fifths of own bounces on, they say "not elsewhere". Guards against any overload of the whole fleet; hurts where this server alone is slow (the others would take its jobs): with marks the share of further tries still decides.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -529,6 +529,9 @@
         if let Some(back_in) = back.filter(|_| may_bounce) {
             let crowded = self.tries_again.read(now) > 0.1 * self.tries.read(now);
             let not_elsewhere = !elsewhere || held.job.again || crowded;
+            if !self.callers.mark_again {
+                self.tries_again.add(now, 0.25);
+            }
             // Spread by chance, so as not to come back together; longer the more there is to keep away.
             let back_in = back_in * ((0.75 + 0.5 * self.chance.draw()) / self.openness.open.min(1.0));
             let back_in = back_in.min(self.callers.longest_back_in);
