--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -507,7 +507,7 @@
         let Some(held) = self.jobs.get(id) else { return now };
         let (until, use_case) = (self.useless_from(held), held.job.use_case);
         let slow = self.gate.best.zip(self.gate.latency.mean(now));
-        let slow = slow.map_or(0.0, |(best, mean)| (mean.as_ms() / best.max(0.001) - 2.0).clamp(0.0, 1.0));
+        let slow = slow.map_or(0.0, |(best, mean)| (mean.as_ms() / best.max(0.001) - 1.0).clamp(0.0, 1.0));
         let slow = if self.use_cases[use_case].part_without_call > 0.0 { slow } else { 0.0 };
         until - self.core_time(now, use_case) * (FINISH_PART * slow)
     }
