--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -262,14 +262,11 @@
     cores_used: Mean, // part of the cores that was busy while jobs waited
     unread: Pace,
     tries: DecaySum,
-    done: DecaySum,
-    most_done: DecaySum,
     tries_again: DecaySum,
     shortest_goal: Span,
     fade: Span,
     started: Option<Time>,
     told_good: Option<bool>,
-    away: Option<Time>, // until when health is bad
     leaving: Option<(Time, Time)>, // when the notice came, and when the process is stopped
     numbers: u64,                  // for jobs and timers
     alarm: Option<(Time, u64)>,
@@ -332,9 +329,6 @@
             if let (Some(mean), Some(all)) = (control.on_cores[case].mean(now), control.any.mean(now)) {
                 control.trial.ended((mean / all).clamp(0.1, 10.0));
             }
-            control.done.add(now, 1.0);
-            let more = control.done.read(now) - control.most_done.read(now);
-            control.most_done.add(now, more.max(0.0));
             control.on_cores[case].learn(now, held.on_cores);
             control.whole[case].learn(now, took);
             control.any.learn(now, held.on_cores);
@@ -411,8 +405,6 @@
             any: Pace::new(fade),
             unread: Pace::new(shortest_goal * WAIT_PART),
             tries: DecaySum::new(fade),
-            done: DecaySum::new(fade),
-            most_done: DecaySum::new(fade * 20.0),
             tries_again: DecaySum::new(fade),
             jobs: BTreeMap::new(),
             fresh: Vec::new(),
@@ -435,7 +427,6 @@
             fade,
             started: None,
             told_good: None,
-            away: None,
             leaving: None,
             numbers: 0,
             alarm: None,
@@ -450,17 +441,7 @@
     pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: Out) {
         self.started.get_or_insert(now);
         feed(&mut Inflow { control: self, now });
-        let crowded = self.tries_again.read(now) > 0.1 * self.tries.read(now);
-        if self.away.is_some_and(|until| until <= now) {
-            (self.away, self.unread) = (None, Pace::new(self.shortest_goal * WAIT_PART));
-        }
-        let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
-        let enough = self.unread.count(now) >= self.machine.cores;
-        let slow = self.done.read(now) < 0.4 * self.most_done.read(now);
-        if self.away.is_none() && !crowded && enough && slow && unread > self.shortest_goal * HOLD_PART {
-            self.away = Some(now + self.shortest_goal * (1.5 + self.chance.draw()));
-        }
-        let good = self.leaving.is_none() && self.away.is_none();
+        let good = self.leaving.is_none();
         if self.told_good.replace(good) != Some(good) {
             out.health(good, true);
         }
@@ -825,7 +806,6 @@
         let unanswered = self.jobs.values().filter(|held| !held.answered);
         let next = unanswered.map(|held| self.useless_from(held)).min();
         let mut next = next.into_iter().chain(self.openness.next.filter(|_| !self.jobs.is_empty())).min();
-        next = next.into_iter().chain(self.away).min();
         if !self.gate.queue.is_empty() {
             let gate =
                 self.gate.past.iter().flat_map(|(left, _)| [*left, *left + self.gate.below.share_over]);
