Bad health for a goal time where jobs lie unread and the value said reaches few

The list is heard by all callers. Guards against any cause that makes one server lag; off at most a third of the time, so that a fleet that lags together goes on.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -267,6 +267,7 @@
     fade: Span,
     started: Option<Time>,
     told_good: Option<bool>,
+    away: Option<Time>, // until when health is bad
     leaving: Option<(Time, Time)>, // when the notice came, and when the process is stopped
     numbers: u64,                  // for jobs and timers
     alarm: Option<(Time, u64)>,
@@ -427,6 +428,7 @@
             fade,
             started: None,
             told_good: None,
+            away: None,
             leaving: None,
             numbers: 0,
             alarm: None,
@@ -441,7 +443,14 @@
     pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: Out) {
         self.started.get_or_insert(now);
         feed(&mut Inflow { control: self, now });
-        let good = self.leaving.is_none();
+        let crowded = self.tries_again.read(now) > 0.15 * self.tries.read(now);
+        let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
+        let heard = self.tries.read(now) * (self.callers.heeded_for / self.fade) / self.callers.count.max(1.0);
+        let stayed = self.away.is_none_or(|until| now.since(until) > self.shortest_goal * 2.0);
+        if heard < 0.25 && stayed && !crowded && unread > self.shortest_goal * HOLD_PART {
+            self.away = Some(now + self.shortest_goal * (0.75 + 0.5 * self.chance.draw()));
+        }
+        let good = self.leaving.is_none() && self.away.is_none_or(|until| until <= now);
         if self.told_good.replace(good) != Some(good) {
             out.health(good, true);
         }
@@ -806,6 +815,7 @@
         let unanswered = self.jobs.values().filter(|held| !held.answered);
         let next = unanswered.map(|held| self.useless_from(held)).min();
         let mut next = next.into_iter().chain(self.openness.next.filter(|_| !self.jobs.is_empty())).min();
+        next = next.into_iter().chain(self.away.filter(|until| *until > now)).min();
         if !self.gate.queue.is_empty() {
             let gate =
                 self.gate.past.iter().flat_map(|(left, _)| [*left, *left + self.gate.below.share_over]);
