--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -34,8 +34,8 @@
 const MEMORY_IN_GOALS: f64 = 2.0;
 /// Part of the shortest goal time that jobs may wait on average before surplus is kept away.
 const WAIT_PART: f64 = 0.15;
-/// Part of the shortest goal time that jobs may wait unread before fewer run.
-const UNREAD_PART: f64 = 0.1;
+/// Part of the mean goal time that jobs may wait unread before fewer run.
+const UNREAD_PART: f64 = 0.07;
 /// Part of its goal time that a job may wait in the hold: one that would wait longer is better off elsewhere.
 const HOLD_PART: f64 = 0.3;
 
@@ -264,10 +264,11 @@
     tries: DecaySum,
     tries_again: DecaySum,
     shortest_goal: Span,
+    mean_goal: Span,
     fade: Span,
     started: Option<Time>,
     told_good: Option<bool>,
-    away: Option<Time>, // until when health is bad
+    away: Option<Time>,            // until when health is bad
     leaving: Option<(Time, Time)>, // when the notice came, and when the process is stopped
     numbers: u64,                  // for jobs and timers
     alarm: Option<(Time, u64)>,
@@ -398,6 +399,8 @@
         chance: Chance,
     ) -> Control {
         let shortest_goal = use_cases.iter().map(|case| case.goal).min().unwrap_or(Span::from_ms(1000.0));
+        let goals = use_cases.iter().fold(Span::ZERO, |sum, case| sum + case.goal);
+        let mean_goal = goals * (1.0 / use_cases.len().max(1) as f64);
         let fade = shortest_goal * MEMORY_IN_GOALS;
         let paces = || use_cases.iter().map(|_| Pace::new(fade)).collect::<Vec<_>>();
         Control {
@@ -424,6 +427,7 @@
             quotas: customers.iter().map(|customer| (DecaySum::new(fade), customer.quota)).collect(),
             openness: Openness { open: 1.0, told: None, next: None },
             chance,
+            mean_goal,
             shortest_goal,
             fade,
             started: None,
@@ -445,7 +449,8 @@
         feed(&mut Inflow { control: self, now });
         let crowded = self.tries_again.read(now) > 0.15 * self.tries.read(now);
         let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
-        let heard = self.tries.read(now) * (self.callers.heeded_for / self.fade) / self.callers.count.max(1.0);
+        let heard =
+            self.tries.read(now) * (self.callers.heeded_for / self.fade) / self.callers.count.max(1.0);
         let stayed = self.away.is_none_or(|until| now.since(until) > self.shortest_goal * 2.0);
         if heard < 0.25 && stayed && !crowded && unread > self.shortest_goal * HOLD_PART {
             self.away = Some(now + self.shortest_goal * (0.75 + 0.5 * self.chance.draw()));
@@ -727,7 +732,7 @@
         // Reading shares the cores with the runs. Jobs that wait unread can be neither bounced nor put in
         // order, so the longer they wait the fewer run, down to half the cores. Guards against any cause of
         // slow reading; it could hurt where reading is slow for a reason that runs don't share.
-        let unread = self.unread.mean(now).unwrap_or(Span::ZERO) / (self.shortest_goal * UNREAD_PART);
+        let unread = self.unread.mean(now).unwrap_or(Span::ZERO) / (self.mean_goal * UNREAD_PART);
         let limit = (self.trial.limit / unread.max(1.0)).max(self.machine.cores * 0.5).min(self.trial.limit);
         let most = (self.machine.cores * 4.0).min(cap);
         let least = self.machine.cores.min(most);
