--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -706,7 +706,7 @@
     fn hold_clears_in(&mut self, now: Time) -> Span {
         let held = self.jobs.values().filter(|held| held.stage == Stage::Held).count() as f64;
         let mean = self.any.mean(now).unwrap_or(Span::ZERO);
-        mean * (self.stretch(now) * held / self.trial.limit) + self.unread.mean(now).unwrap_or(Span::ZERO)
+        mean * (self.stretch(now) * held / self.trial.limit)
     }
 
     /// Runs the hold in the order of what it earns for its time on the cores. What can't be done by then is
@@ -806,7 +806,7 @@
         }
         self.openness.next = Some(now + self.callers.heeded_for * 0.1);
         let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
-        let wait = self.hold_clears_in(now) / (self.shortest_goal * WAIT_PART);
+        let wait = (self.hold_clears_in(now) + unread) / (self.shortest_goal * WAIT_PART);
         let wait = if self.leaving.is_some() { f64::INFINITY } else { wait };
         let outstanding = 4.0 * self.trial.limit / self.callers.count.max(1.0);
         let value = self.openness.steer(wait, self.callers.signal, outstanding);
