--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -24,8 +24,6 @@
 const UNTOLD_PERMITS: f64 = 8.0;
 /// Part of a limit of the rules that is used at most: what is read or comes back meanwhile needs the rest.
 const RULE_ROOM: f64 = 0.8;
-/// Exception: where no share is told, permits may grow to this; under a told share they never go past it.
-const MOST_PERMITS: f64 = 4.0 * UNTOLD_PERMITS;
 /// Calls that take this many times what they took at best show that what lies below is crowded.
 const CALLS_CROWDED: f64 = 4.0;
 /// Times the mean core time that a job keeps to finish without a call, once calls take twice their best.
@@ -38,6 +36,8 @@
 const UNREAD_PART: f64 = 0.09;
 /// Part of its goal time that a job may wait in the hold: one that would wait longer is better off elsewhere.
 const HOLD_PART: f64 = 0.3;
+/// Where a caller comes less than this often while it keeps a value in mind, the value steers little.
+const SELDOM_HEARD: f64 = 0.25;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
@@ -95,7 +95,8 @@
         let Some(mean) = self.latency.mean(now).map(Span::as_ms).filter(|_| enough) else { return };
         let best = self.best.map_or(mean, |best| (best * (1.0 + 0.002 / self.permits)).min(mean));
         self.best = Some(best);
-        let most = self.below.share.unwrap_or(MOST_PERMITS);
+        // Exception: where no share is told, permits may grow; under a told share they never go past it.
+        let most = self.below.share.unwrap_or(4.0 * UNTOLD_PERMITS);
         if mean > best * CALLS_CROWDED {
             self.permits -= 0.5 / self.permits;
         } else if !self.queue.is_empty() && mean < best * (1.0 + CALLS_CROWDED) / 2.0 {
@@ -113,7 +114,7 @@
 
     /// The wait budget; as depth over drain rate it is the retry-after too.
     fn budget(&mut self, now: Time, wait: Span) -> Span {
-        wait.less(self.latency.mean(now).unwrap_or(Span::ZERO))
+        wait.less(self.latency.usual(now))
     }
 
     fn depth(&mut self, now: Time, wait: Span) -> f64 {
@@ -137,7 +138,7 @@
         let kept = if part { self.below.share_over } else { Span::ZERO };
         self.past.retain(|(left, _)| *left + kept > now);
         let lingering = self.past.iter().filter(|(left, _)| *left > now).count();
-        let latency = self.latency.mean(now).unwrap_or(Span::ZERO);
+        let latency = self.latency.usual(now);
         let rested = self.part_left().is_none_or(|left| left > latency || self.past.is_empty());
         rested && ((self.in_hand + lingering) as f64) < self.permits()
     }
@@ -169,13 +170,7 @@
     const JUDGED_AFTER: f64 = 4.0; // a step is judged after this many jobs for each that may run
     const BUSY: f64 = 0.95; // cores used by this part or more are taken as busy
 
-    fn ended(&mut self, weight: f64) {
-        if self.jobs_wait {
-            self.done += weight;
-        }
-    }
-
-    fn settle(&mut self, now: Time, jobs_wait: bool, used: Option<f64>, least: f64, most: f64) {
+    fn settle(&mut self, now: Time, jobs_wait: bool, used: Option<f64>, cores: f64, cap: f64) {
         if self.jobs_wait {
             self.busy += self.checked.map_or(Span::ZERO, |checked| now.since(checked));
         }
@@ -188,13 +183,14 @@
             self.limit += self.step;
             (self.before, self.done, self.busy) = ((!worse).then_some(rate), 0.0, Span::ZERO);
         }
-        self.limit = self.limit.clamp(least, most.max(least));
+        let most = (cores * 4.0).min(cap);
+        self.limit = self.limit.clamp(cores.min(most), most);
     }
 }
 
-/// What part of a customer's jobs earns in full, by its rate here against its quota over the fleet.
-fn part_in_quota(rate_here: f64, fleet: f64, quota: f64, beyond: f64) -> f64 {
-    let within = (quota / (rate_here * fleet).max(f64::MIN_POSITIVE)).min(1.0);
+/// What part of a customer's jobs earns in full, by its rate over the fleet, as seen here, and its quota.
+fn part_in_quota(rate: f64, quota: f64, beyond: f64) -> f64 {
+    let within = (quota / rate.max(f64::MIN_POSITIVE)).min(1.0);
     within + (1.0 - within) * beyond
 }
 
@@ -264,7 +260,7 @@
     tries: DecaySum,
     tries_again: DecaySum,
     shortest_goal: Span,
-    mean_goal: Span,
+    unread_most: Span, // before fewer run
     fade: Span,
     started: Option<Time>,
     told_good: Option<bool>,
@@ -328,9 +324,7 @@
         }
         if outcome == Outcome::Completed {
             let case = held.job.use_case;
-            if let (Some(mean), Some(all)) = (control.on_cores[case].mean(now), control.any.mean(now)) {
-                control.trial.ended((mean / all).clamp(0.1, 10.0));
-            }
+            control.trial.done += f64::from(u8::from(control.trial.jobs_wait));
             control.on_cores[case].learn(now, held.on_cores);
             control.whole[case].learn(now, took);
             control.any.learn(now, held.on_cores);
@@ -377,6 +371,7 @@
 
     pub fn leaving(&mut self, stopped_at: Time) {
         self.control.leaving.get_or_insert((self.now, stopped_at));
+        self.control.openness.next = None;
     }
 
     pub fn woke(&mut self, token: u64, cores_used: Option<f64>) {
@@ -400,7 +395,6 @@
     ) -> Control {
         let shortest_goal = use_cases.iter().map(|case| case.goal).min().unwrap_or(Span::from_ms(1000.0));
         let goals = use_cases.iter().fold(Span::ZERO, |sum, case| sum + case.goal);
-        let mean_goal = goals * (1.0 / use_cases.len().max(1) as f64);
         let fade = shortest_goal * MEMORY_IN_GOALS;
         let paces = || use_cases.iter().map(|_| Pace::new(fade)).collect::<Vec<_>>();
         Control {
@@ -427,7 +421,7 @@
             quotas: customers.iter().map(|customer| (DecaySum::new(fade), customer.quota)).collect(),
             openness: Openness { open: 1.0, told: None, next: None },
             chance,
-            mean_goal,
+            unread_most: goals * (UNREAD_PART / use_cases.len().max(1) as f64),
             shortest_goal,
             fade,
             started: None,
@@ -439,7 +433,7 @@
             use_cases,
             machine,
             promises,
-            callers,
+            callers: Callers { count: callers.count.max(1.0), ..callers },
         }
     }
 
@@ -447,18 +441,7 @@
     pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: Out) {
         self.started.get_or_insert(now);
         feed(&mut Inflow { control: self, now });
-        let crowded = self.tries_again.read(now) > 0.15 * self.tries.read(now);
-        let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
-        let heard =
-            self.tries.read(now) * (self.callers.heeded_for / self.fade) / self.callers.count.max(1.0);
-        let stayed = self.away.is_none_or(|until| now.since(until) > self.shortest_goal * 2.0);
-        if heard < 0.25 && stayed && !crowded && unread > self.shortest_goal * HOLD_PART {
-            self.away = Some(now + self.shortest_goal * (0.75 + 0.5 * self.chance.draw()));
-        }
-        let good = self.leaving.is_none() && self.away.is_none_or(|until| until <= now);
-        if self.told_good.replace(good) != Some(good) {
-            out.health(good, true);
-        }
+        self.speak(now, out);
         for id in std::mem::take(&mut self.fresh) {
             match self.jobs.get(&id).map(|held| held.stage) {
                 Some(Stage::Held) => self.admit(now, &id, out),
@@ -479,7 +462,6 @@
         self.make_calls(now, out);
         self.run_held(now, out);
         self.shed_memory(now, out);
-        self.speak(now, out);
         self.set_alarm(now, out);
     }
 
@@ -541,11 +523,8 @@
         let may_have_run = held.ran || held.job.repeats.is_some() || blind;
         let may_bounce = repeats == Repeats::Reissuable || !may_have_run;
         if let Some(back_in) = back.filter(|_| may_bounce) {
-            let crowded = self.tries_again.read(now) > 0.1 * self.tries.read(now);
-            let not_elsewhere = !elsewhere || held.job.again || crowded;
-            if !self.callers.mark_again {
-                self.tries_again.add(now, 0.25);
-            }
+            let not_elsewhere = !elsewhere || held.job.again || self.crowded(now, 0.1);
+            self.tries_again.add(now, if self.callers.mark_again { 0.0 } else { 0.25 });
             // Spread by chance, so as not to come back together; longer the more there is to keep away.
             let back_in = back_in * ((0.75 + 0.5 * self.chance.draw()) / self.openness.open.min(1.0));
             let back_in = back_in.min(self.callers.longest_back_in);
@@ -564,11 +543,14 @@
         }
     }
 
+    fn stoppable(&self, held: &InHand) -> bool {
+        let again = self.case(held).repeats == Repeats::Reissuable;
+        self.machine.stopping != Stopping::Never && again && held.stage == Stage::OnCores
+    }
+
     /// A run that nobody waits for is stopped, where that is allowed and the job may run again.
     fn stop_unwanted(&self, id: &JobId, out: Out) {
-        let Some(held) = self.jobs.get(id) else { return };
-        let may = self.machine.stopping != Stopping::Never && self.case(held).repeats == Repeats::Reissuable;
-        if may && held.answered && held.stage == Stage::OnCores {
+        if self.jobs.get(id).is_some_and(|held| held.answered && self.stoppable(held)) {
             out.stop(id);
         }
     }
@@ -601,8 +583,7 @@
         }
         if let Some((notice, _)) = self.leaving
             && (job.reached > notice + self.promises.drain_grace
-                || now + self.whole[job.use_case].mean(now).unwrap_or(Span::ZERO)
-                    > self.last_moment(&self.jobs[id]))
+                || now + self.whole[job.use_case].usual(now) > self.last_moment(&self.jobs[id]))
         {
             return self.give_up(now, id, true, Some(Span::ZERO), out);
         }
@@ -656,8 +637,8 @@
                 self.no_call(now, &id, out);
                 continue;
             }
-            let within = self.call_until(now, &id).since(now);
-            let within = self.gate.part_left().map_or(within, |left| within.min(left));
+            let until = self.call_until(now, &id).since(now);
+            let within = self.gate.part_left().map_or(until, |left| until.min(left));
             self.enter(now, &id, Stage::Calling);
             self.gate.in_hand += 1;
             out.call(&id, within.max(self.machine.tick));
@@ -679,9 +660,8 @@
     }
 
     fn used_kb(&self, now: Time) -> f64 {
-        let entries =
-            self.entries.values().filter(|entry| entry.until > now).count() as f64 * self.machine.entry_kb;
-        self.jobs.values().map(|held| self.kb(held)).sum::<f64>() + entries
+        let entries = self.entries.values().filter(|entry| entry.until > now).count() as f64;
+        self.jobs.values().map(|held| self.kb(held)).sum::<f64>() + entries * self.machine.entry_kb
     }
 
     fn kb(&self, held: &InHand) -> f64 {
@@ -691,9 +671,9 @@
     /// How much slower the jobs on the cores are than those that ended: seen before any of them ends.
     fn stretch(&mut self, now: Time) -> f64 {
         let Some(mean) = self.any.mean(now) else { return 1.0 };
-        let ages =
-            self.jobs.values().filter(|h| h.stage == Stage::OnCores).map(|h| h.on_cores + now.since(h.since));
-        let (count, total) = ages.fold((0.0, 0.0), |(n, sum), age| (n + 1.0, sum + age.as_ms()));
+        let running = self.jobs.values().filter(|held| held.stage == Stage::OnCores);
+        let ages = running.map(|held| (held.on_cores + now.since(held.since)).as_ms());
+        let (count, total) = ages.fold((0.0, 0.0), |(n, sum), age| (n + 1.0, sum + age));
         // A few runs may be long by chance: as many again of the mean length are counted in.
         let few = 2.0 * self.machine.cores;
         ((total / mean.as_ms().max(0.001) + few) / (count + few)).max(1.0)
@@ -705,7 +685,7 @@
 
     fn hold_clears_in(&mut self, now: Time) -> Span {
         let held = self.jobs.values().filter(|held| held.stage == Stage::Held).count() as f64;
-        let mean = self.any.mean(now).unwrap_or(Span::ZERO);
+        let mean = self.any.usual(now);
         mean * (self.stretch(now) * held / self.trial.limit)
     }
 
@@ -717,35 +697,26 @@
             let held = &self.jobs[&id];
             let late = if held.goal <= now { self.case(held).late_part } else { 1.0 };
             let earns = self.case(held).earnings * late;
-            let (use_case, customer) = (held.job.use_case, held.job.customer);
-            let takes = self.core_time(now, use_case).as_ms().max(0.001);
-            let (fleet, beyond) = (self.callers.fleet, self.callers.over_quota_part);
-            let part = self.quotas.get_mut(customer).map_or(1.0, |(tries, quota)| {
-                part_in_quota(tries.read(now) * 1000.0 / self.fade.as_ms(), fleet, *quota, beyond)
-            });
-            hold.push((earns * part / takes, use_case, id));
+            let (use_case, beyond) = (held.job.use_case, self.callers.over_quota_part);
+            let scale = self.callers.fleet * 1000.0 / self.fade.as_ms();
+            let quota = self.quotas.get_mut(held.job.customer);
+            let part = quota.map_or(1.0, |(sum, quota)| part_in_quota(sum.read(now) * scale, *quota, beyond));
+            hold.push((earns * part / self.core_time(now, use_case).as_ms().max(0.001), use_case, id));
         }
         // Stable: among equals the one read first.
         hold.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let stretch = self.stretch(now);
-        let cap = self.crowd_cap(now);
+        let (stretch, cap) = (self.stretch(now), self.crowd_cap(now));
         // Reading shares the cores with the runs. Jobs that wait unread can be neither bounced nor put in
         // order, so the longer they wait the fewer run, down to half the cores. Guards against any cause of
         // slow reading; it could hurt where reading is slow for a reason that runs don't share.
-        let unread = self.unread.mean(now).unwrap_or(Span::ZERO) / (self.mean_goal * UNREAD_PART);
+        let unread = self.unread.usual(now) / self.unread_most;
         let limit = (self.trial.limit / unread.max(1.0)).max(self.machine.cores * 0.5).min(self.trial.limit);
-        let most = (self.machine.cores * 4.0).min(cap);
-        let least = self.machine.cores.min(most);
-        let mut on_cores = self.crowd(Stage::OnCores);
-        let mut crowd = self.crowd(Stage::Calling);
-        let mut memory = self.used_kb(now);
-        let mut ahead = Span::ZERO;
-        let mut waiting = false;
+        let (mut on_cores, mut crowd) = (self.crowd(Stage::OnCores), self.crowd(Stage::Calling));
+        let (mut memory, mut ahead, mut waiting) = (self.used_kb(now), Span::ZERO, false);
         for (_, use_case, id) in hold {
             let held = &self.jobs[&id];
             let needs = held.job.held_kb * (self.machine.running_factor - 1.0);
-            let calls = self.case(held).calls;
-            let wait = self.call_wait(now, held);
+            let (calls, wait) = (self.case(held).calls, self.call_wait(now, held));
             let room = on_cores < limit
                 && crowd < cap
                 && memory + needs <= self.machine.memory_kb * RULE_ROOM
@@ -770,7 +741,7 @@
             waiting = true;
             let core_time = self.core_time(now, use_case) * stretch;
             let starts_in = ahead * (1.0 / limit);
-            let done = now + starts_in + self.whole[use_case].mean(now).unwrap_or(Span::ZERO).max(core_time);
+            let done = now + starts_in + self.whole[use_case].usual(now).max(core_time);
             let patience = self.use_cases[use_case].goal * HOLD_PART;
             if done > self.useless_from(&self.jobs[&id]) || starts_in > patience {
                 let back_in = self.hold_clears_in(now);
@@ -779,19 +750,15 @@
                 ahead += core_time;
             }
         }
-        self.trial.settle(now, waiting, self.cores_used.mean(now), least, most);
+        self.trial.settle(now, waiting, self.cores_used.mean(now), self.machine.cores, cap);
     }
 
     /// Right after each batch all must fit: what is held goes before what runs, the last read first.
     fn shed_memory(&mut self, now: Time, out: Out) {
         let limit = self.machine.memory_kb * (1.0 + RULE_ROOM) / 2.0;
         let mut over = self.used_kb(now) - limit;
-        let may_stop = self.machine.stopping != Stopping::Never;
-        let stoppable = |held: &InHand| {
-            may_stop && held.stage == Stage::OnCores && self.case(held).repeats == Repeats::Reissuable
-        };
         let mut ids = self.pick(|held| !held.running());
-        ids.splice(0..0, self.pick(stoppable));
+        ids.splice(0..0, self.pick(|held| self.stoppable(held)));
         while let Some(id) = ids.pop().filter(|_| over > 0.0) {
             over -= self.kb(&self.jobs[&id]);
             let back_in = self.hold_clears_in(now);
@@ -799,16 +766,35 @@
         }
     }
 
-    /// Steers what is said to callers by how long a job waits here, unread and held, before it runs.
+    /// Most tries that come are further ones, or, where these aren't marked, most jobs here are bounced: the
+    /// other servers have no room either.
+    fn crowded(&mut self, now: Time, part: f64) -> bool {
+        self.tries_again.read(now) > part * self.tries.read(now)
+    }
+
+    /// Steers what is said to callers by how long a job waits here, unread and held, before it runs. A caller
+    /// that comes less often than it forgets hears nothing of that. Where most do, a server that lags goes
+    /// off the list for a goal time, a third of the time at most, which all callers hear. Guards against
+    /// whatever makes this server slower or more popular than others; could hurt where all of them lag.
     fn speak(&mut self, now: Time, out: Out) {
         if self.openness.next.is_some_and(|next| now < next) {
             return;
         }
         self.openness.next = Some(now + self.callers.heeded_for * 0.1);
-        let unread = self.unread.mean(now).unwrap_or(Span::ZERO);
+        let unread = self.unread.usual(now);
+        let heard = self.tries.read(now) * (self.callers.heeded_for / self.fade) / self.callers.count;
+        let back = self.away.is_none_or(|until| now.since(until) > self.shortest_goal * 2.0);
+        let lags = unread > self.shortest_goal * HOLD_PART;
+        if heard < SELDOM_HEARD && back && lags && !self.crowded(now, 0.15) {
+            self.away = Some(now + self.shortest_goal * (0.75 + 0.5 * self.chance.draw()));
+        }
+        let good = self.leaving.is_none() && self.away.is_none_or(|until| until <= now);
+        if self.told_good.replace(good) != Some(good) {
+            out.health(good, true);
+        }
         let wait = (self.hold_clears_in(now) + unread) / (self.shortest_goal * WAIT_PART);
         let wait = if self.leaving.is_some() { f64::INFINITY } else { wait };
-        let outstanding = 4.0 * self.trial.limit / self.callers.count.max(1.0);
+        let outstanding = 4.0 * self.trial.limit / self.callers.count;
         let value = self.openness.steer(wait, self.callers.signal, outstanding);
         if let Some(value) = value.filter(|value| self.openness.told != Some(*value)) {
             self.openness.told = Some(value);
@@ -818,12 +804,12 @@
 
     fn set_alarm(&mut self, now: Time, out: Out) {
         let unanswered = self.jobs.values().filter(|held| !held.answered);
-        let next = unanswered.map(|held| self.useless_from(held)).min();
-        let mut next = next.into_iter().chain(self.openness.next.filter(|_| !self.jobs.is_empty())).min();
-        next = next.into_iter().chain(self.away.filter(|until| *until > now)).min();
+        let next = unanswered.map(|held| self.useless_from(held)).min().into_iter();
+        let speak = self.openness.next.filter(|_| !self.jobs.is_empty());
+        let mut next = next.chain(speak).chain(self.away.filter(|until| *until > now)).min();
         if !self.gate.queue.is_empty() {
-            let gate =
-                self.gate.past.iter().flat_map(|(left, _)| [*left, *left + self.gate.below.share_over]);
+            let over = self.gate.below.share_over;
+            let gate = self.gate.past.iter().flat_map(|(left, _)| [*left, *left + over]);
             next = next.into_iter().chain(gate.filter(|at| *at > now)).min();
         }
         let Some(next) = next.map(|next| next.max(now + self.machine.tick)) else { return };
--- a/crates/hazelgrade/src/decay.rs
+++ b/crates/hazelgrade/src/decay.rs
@@ -73,4 +73,9 @@
     pub fn mean(&mut self, now: Time) -> Option<Span> {
         self.0.mean(now).map(Span::from_ms)
     }
+
+    /// The mean, or nothing before the first sample.
+    pub fn usual(&mut self, now: Time) -> Span {
+        self.mean(now).unwrap_or(Span::ZERO)
+    }
 }
