--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -177,7 +177,7 @@
         (self.checked, self.jobs_wait) = (Some(now), jobs_wait);
         if self.done >= Self::JUDGED_AFTER * self.limit {
             let rate = self.done / self.busy.as_ms().max(1.0);
-            let worse = self.before.is_some_and(|before| rate < before * (1.0 - Self::LOSS));
+            let worse = self.step > 0.0 && self.before.is_some_and(|was| rate < was * (1.0 - Self::LOSS));
             let towards = if used.is_none_or(|used| used < Self::BUSY) { 1.0 } else { -1.0 };
             self.step = if worse { -self.step } else { towards };
             self.limit += self.step;
