--- a/crates/hazelgrade-wirehost/src/wire.rs
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -194,7 +194,7 @@
         let Some((name, value)) = value else {
             return fault("serverStats", "name:value pairs with numbers for values");
         };
-        used = if name == "on_cores" { Some(value).filter(|value| value.is_finite()) } else { used };
+        used = if name == "core_use" { Some(value).filter(|value| value.is_finite()) } else { used };
     }
     Ok(used)
 }
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -168,7 +168,7 @@
 impl RunTrial {
     const LOSS: f64 = 0.1; // less by this part for a step to be undone: smaller differences are chance
     const JUDGED_AFTER: f64 = 4.0; // a step is judged after this many jobs for each that may run
-    const BUSY: f64 = 1.75; // cores used by this part or more are taken as busy
+    const BUSY: f64 = 0.95; // cores used by this part or more are taken as busy
 
     fn settle(&mut self, now: Time, jobs_wait: bool, used: Option<f64>, cores: f64, cap: f64) {
         if self.jobs_wait {
@@ -178,7 +178,7 @@
         if self.done >= Self::JUDGED_AFTER * self.limit {
             let rate = self.done / self.busy.as_ms().max(1.0);
             let worse = self.step > 0.0 && self.before.is_some_and(|was| rate < was * (1.0 - Self::LOSS));
-            let towards = if used.is_none_or(|used| used < Self::BUSY * cores) { 1.0 } else { -1.0 };
+            let towards = if used.is_none_or(|used| used < Self::BUSY) { 1.0 } else { -1.0 };
             self.step = if worse { -self.step } else { towards };
             self.limit += self.step;
             (self.before, self.done, self.busy) = ((!worse).then_some(rate), 0.0, Span::ZERO);
