--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -320,9 +320,7 @@
         if outcome == Outcome::Stopped && !held.answered {
             (held.stage, held.since) = (Stage::Held, now);
             control.jobs.insert(id.clone(), held);
-            return;
-        }
-        if outcome == Outcome::Completed {
+        } else if outcome == Outcome::Completed {
             let case = held.job.use_case;
             control.trial.done += f64::from(u8::from(control.trial.jobs_wait));
             control.on_cores[case].learn(now, held.on_cores);
@@ -782,10 +780,11 @@
         }
         self.openness.next = Some(now + self.callers.heeded_for * 0.1);
         let unread = self.unread.usual(now);
-        let heard = self.tries.read(now) * (self.callers.heeded_for / self.fade) / self.callers.count;
+        let lived = self.started.map_or(self.fade, |start| now.since(start).min(self.fade));
+        let heard = self.tries.read(now) * (self.callers.heeded_for / lived) / self.callers.count;
         let back = self.away.is_none_or(|until| now.since(until) > self.shortest_goal * 2.0);
-        let lags = unread > self.shortest_goal * HOLD_PART;
-        if heard < SELDOM_HEARD && back && lags && !self.crowded(now, 0.15) {
+        let lags = back && unread > self.shortest_goal * HOLD_PART;
+        if heard < SELDOM_HEARD && lags && !self.crowded(now, 0.15) {
             self.away = Some(now + self.shortest_goal * (0.75 + 0.5 * self.chance.draw()));
         }
         let good = self.leaving.is_none() && self.away.is_none_or(|until| until <= now);
