--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -166,7 +166,8 @@
 }
 
 impl RunTrial {
-    const LOSS: f64 = 0.1; // less by this part for a step to be undone: smaller differences are chance
+    const LOSS_UP: f64 = 0.1; // less by this part and a step up is undone: smaller differences are chance
+    const LOSS_DOWN: f64 = 0.3; // and a step down: while cores are busy it rarely costs anything
     const JUDGED_AFTER: f64 = 4.0; // a step is judged after this many jobs for each that may run
     const BUSY: f64 = 0.95; // cores used by this part or more are taken as busy
 
@@ -177,7 +178,8 @@
         (self.checked, self.jobs_wait) = (Some(now), jobs_wait);
         if self.done >= Self::JUDGED_AFTER * self.limit {
             let rate = self.done / self.busy.as_ms().max(1.0);
-            let worse = self.step > 0.0 && self.before.is_some_and(|was| rate < was * (1.0 - Self::LOSS));
+            let loss = if self.step > 0.0 { Self::LOSS_UP } else { Self::LOSS_DOWN };
+            let worse = self.before.is_some_and(|before| rate < before * (1.0 - loss));
             let towards = if used.is_none_or(|used| used < Self::BUSY) { 1.0 } else { -1.0 };
             self.step = if worse { -self.step } else { towards };
             self.limit += self.step;
