A server off the list wakes by itself to come back

Found by the test of the list answer: the round at the end of the time off could fall before the next time that the module speaks, and without jobs no later timer was set, so that a server could have stayed off for good.

--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -8,7 +8,7 @@
 //! 1. `RunTrial`: how many jobs run at once is tried out, within what the crowd rule allows.
 //! 2. The hold goes by earnings for time on the cores; what can't be in time any more is answered at once.
 //! 3. `part_in_quota`: a customer's jobs beyond its quota count for less in that order.
-//! 4. `Openness`: surplus is kept away by the value said to callers, by back-in times and "not elsewhere".
+//! 4. `speak`: surplus is kept away by the value said, the list, back-in times and "not elsewhere".
 //! 5. A job whose call can't be made goes on without it, where that still earns something.
 //! 6. The rules' guards: cut-off, drain, memory, crowd, and entries for numbered jobs.
 
@@ -185,8 +185,7 @@
             self.limit += self.step;
             (self.before, self.done, self.busy) = ((!worse).then_some(rate), 0.0, Span::ZERO);
         }
-        let most = (cores * 4.0).min(cap);
-        self.limit = self.limit.clamp(cores.min(most), most);
+        self.limit = self.limit.clamp(cores.min(cap), (cores * 4.0).min(cap));
     }
 }
 
@@ -774,8 +773,8 @@
 
     /// Steers what is said to callers by how long a job waits here, unread and held, before it runs. A caller
     /// that comes less often than it forgets hears nothing of that. Where most do, a server that lags goes
-    /// off the list for a goal time, a third of the time at most, which all callers hear. Guards against
-    /// whatever makes this server slower or more popular than others; could hurt where all of them lag.
+    /// off the list for a goal time, a third of the time at most, which all callers hear (it gets no jobs
+    /// then and wakes by itself). Guards against all that makes it lag; could hurt where all servers do.
     fn speak(&mut self, now: Time, out: Out) {
         if self.openness.next.is_some_and(|next| now < next) {
             return;
@@ -806,8 +805,8 @@
     fn set_alarm(&mut self, now: Time, out: Out) {
         let unanswered = self.jobs.values().filter(|held| !held.answered);
         let next = unanswered.map(|held| self.useless_from(held)).min().into_iter();
-        let speak = self.openness.next.filter(|_| !self.jobs.is_empty());
-        let mut next = next.chain(speak).chain(self.away.filter(|until| *until > now)).min();
+        let speak = self.openness.next.filter(|_| !self.jobs.is_empty() || self.told_good == Some(false));
+        let mut next = next.chain(speak).min();
         if !self.gate.queue.is_empty() {
             let over = self.gate.below.share_over;
             let gate = self.gate.past.iter().flat_map(|(left, _)| [*left, *left + over]);
--- a/crates/hazelgrade/tests/common/mod.rs
+++ b/crates/hazelgrade/tests/common/mod.rs
@@ -54,6 +54,7 @@
 }
 
 /// Settings of a plain deployment; tests change what they are about.
+#[derive(Clone)]
 pub struct Setup {
     pub use_cases: Vec<UseCase>,
     pub machine: Machine,
@@ -101,9 +102,8 @@
 
 impl Setup {
     pub fn control(&self) -> Control {
-        let (machine, promises) = (self.machine.clone(), self.promises.clone());
-        let (below, callers) = (self.below.clone(), self.callers.clone());
-        Control::new(self.use_cases.clone(), vec![], machine, promises, below, callers, Chance::new(7))
+        let Setup { use_cases, machine, promises, below, callers } = self.clone();
+        Control::new(use_cases, vec![], machine, promises, below, callers, Chance::new(7))
     }
 }
 
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -5,7 +5,7 @@
 use common::*;
 use hazelgrade::control::Control;
 use hazelgrade::desk::*;
-use hazelgrade::time::Span;
+use hazelgrade::time::{Span, Time};
 
 fn runs(acts: &[Act]) -> usize {
     acts.iter().filter(|act| matches!(act, Act::Run(_))).count()
@@ -79,20 +79,16 @@
     assert!(!acts.iter().any(|act| matches!(act, Act::Bounce(..) | Act::WriteOff(_))), "{acts:?}");
 }
 
-/// Foreseen: long calls hold the permits, so that what queues behind them can't clear within its budget. Such a
-/// job is answered when its goal time has passed, and its call is never made.
+/// Foreseen: long calls hold the permits, so that what queues behind them can't clear within its budget.
 #[test]
-fn a_call_queued_past_its_budget_is_never_made() {
+fn a_call_queued_past_its_budget_or_whose_caller_left_is_never_made() {
     let mut control = setup().control();
     at_calls(&mut control, 0.0, 0, 9);
     let acts = round(&mut control, at(2100.0), |inflow| inflow.woke(1, None));
     assert!(bounced(&acts, "c8"), "{acts:?}");
     let acts = call_done(&mut control, "c0", 2200.0);
     assert!(made(&acts).is_empty(), "{acts:?}");
-}
-
-#[test]
-fn a_queued_call_whose_caller_left_is_never_made() {
+    // Nor one whose caller left.
     let mut control = setup().control();
     at_calls(&mut control, 0.0, 0, 10);
     let acts = round(&mut control, at(50.0), |inflow| {
@@ -173,18 +169,32 @@
     assert!(run_at_last(0.5) > run_at_last(1.0), "{} {}", run_at_last(0.5), run_at_last(1.0));
 }
 
-/// A server whose jobs lie unread for two seconds, hearing from `callers` callers; what it said of its health.
-fn health_when_lagging(callers: f64) -> Vec<bool> {
+/// A server whose jobs, up to step `last` of 10 ms, lay unread for two seconds; what it said of its health.
+fn health_when_lagging(callers: f64, last: u32) -> Vec<bool> {
     let mut setup = setup();
-    setup.callers.count = callers;
-    let (mut control, mut said) = (setup.control(), vec![]);
-    for step in 0..120 {
-        let now = at(5000.0 + 100.0 * f64::from(step));
-        let late = job(&format!("j{step}"), now - ms(2000.0));
-        let acts = round(&mut control, now, |inflow| inflow.arrived(late));
-        said.extend(
-            acts.iter().filter(|act| matches!(act, Act::Health(_))).map(|act| *act == Act::Health(true)),
-        );
+    (setup.callers.count, setup.use_cases[0].calls) = (callers, false);
+    let (mut control, mut said, mut wakes, mut ran) = (setup.control(), vec![], vec![], vec![]);
+    for step in 0..2000 {
+        let now = at(5000.0 + 10.0 * f64::from(step));
+        let due: Vec<(Time, u64)> = wakes.iter().copied().filter(|(at, _)| *at <= now).collect();
+        wakes.retain(|wake| !due.contains(wake));
+        let comes = step <= last && step % 7 == 0;
+        if due.is_empty() && !comes && ran.is_empty() {
+            continue;
+        }
+        let acts = round(&mut control, now, |inflow| {
+            due.iter().for_each(|(_, token)| inflow.woke(*token, None));
+            ran.drain(..).for_each(|id| inflow.run_ended(&id, Outcome::Completed, ms(10.0)));
+            (0..u32::from(comes)).for_each(|_| inflow.arrived(job(&format!("j{step}"), now - ms(1900.0))));
+        });
+        for act in acts {
+            match act {
+                Act::Health(good) => said.push(good),
+                Act::Wake(at, token) => wakes.push((at, token)),
+                Act::Run(id) => ran.push(id),
+                _ => {}
+            }
+        }
     }
     said
 }
@@ -192,9 +202,11 @@
 /// Found at full size: callers that come once a minute never heard the value of a server that lagged.
 #[test]
 fn a_server_that_lags_goes_off_the_list_for_a_while_where_its_value_is_seldom_heard() {
-    assert_eq!(health_when_lagging(4.0), [true], "often heard: the value does it");
-    let seldom = health_when_lagging(400.0);
-    assert!(seldom.len() >= 4 && seldom.windows(2).all(|pair| pair[0] != pair[1]), "off and on: {seldom:?}");
+    assert_eq!(health_when_lagging(4.0, 1000), [true], "often heard: the value does it");
+    for last in 100..300 {
+        let seldom = health_when_lagging(400.0, last);
+        assert!(seldom.len() >= 3 && seldom.last() == Some(&true), "on again by itself, {last}: {seldom:?}");
+    }
 }
 
 /// A server of `cores` cores without calls that has learned that jobs take 350 ms, by `at(2200.0)`.
--- a/crates/hazelgrade/tests/rules.rs
+++ b/crates/hazelgrade/tests/rules.rs
@@ -1,11 +1,11 @@
-//! A slow, plain model of the four rules plays the world beside the module on generated inputs: runs that
-//! end, calls that return, timers that fire late, callers that leave. Every decision is checked against what
-//! the rules allow, and every job against the one final answer it is owed.
+//! A slow, plain model of the four rules plays the world beside the module on generated inputs. Every decision is
+//! checked against what the rules allow, and every job against the one final answer it is owed.
 
 mod common;
 
 use common::*;
 use hazelgrade::chance::Chance;
+use hazelgrade::control::Control;
 use hazelgrade::desk::*;
 use hazelgrade::time::{Span, Time};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -194,8 +194,6 @@
     }
 }
 
-const KINDS: [Repeats; 3] = [Repeats::Reissuable, Repeats::Numbered, Repeats::AtMostOnce];
-
 fn one_of<T: Copy>(chance: &mut Chance, from: &[T]) -> T {
     from[(chance.draw() * from.len() as f64) as usize]
 }
@@ -204,23 +202,22 @@
     let mut chance = Chance::new(seed);
     let mut setup = setup();
     let base = setup.use_cases[0].clone();
-    setup.use_cases = KINDS
-        .iter()
+    setup.use_cases = [Repeats::Reissuable, Repeats::Numbered, Repeats::AtMostOnce]
         .map(|repeats| UseCase {
-            repeats: *repeats,
+            repeats,
             late_part: if chance.draw() < 0.5 { 0.0 } else { 0.3 },
             part_without_call: if chance.draw() < 0.5 { 0.0 } else { 0.4 },
             calls: chance.draw() < 0.7,
             ..base.clone()
         })
-        .collect();
+        .to_vec();
     setup.machine.cold = chance.draw() < 0.5;
     setup.machine.cores = one_of(&mut chance, &[1.0, 2.0, 4.0]);
     setup.machine.memory_kb = one_of(&mut chance, &[3_000.0, 20_000.0]);
     setup.machine.stopping = one_of(&mut chance, &[Stopping::Never, Stopping::Drops, Stopping::Pauses]);
     setup.below.share = one_of(&mut chance, &[None, Some(0.04), Some(0.4), Some(3.5)]);
-    let signals = [Signal::Silent, Signal::Level, Signal::Credit, Signal::Weight];
-    setup.callers.signal = one_of(&mut chance, &signals);
+    use Signal::*;
+    setup.callers.signal = one_of(&mut chance, &[Silent, Level, Credit, Weight]);
     setup.callers.mark_again = chance.draw() < 0.7;
     let sizes = [(1.0, 1.0), (4.0, 5.0), (3_000.0, 400.0)];
     (setup.callers.count, setup.callers.fleet) = one_of(&mut chance, &sizes);
@@ -314,12 +311,7 @@
 }
 
 /// All that happens in the world at a tick, told to the module; its decisions, if anything happened.
-fn events(
-    world: &mut World,
-    control: &mut hazelgrade::control::Control,
-    now: Time,
-    leaves: Time,
-) -> Option<Vec<Act>> {
+fn events(world: &mut World, control: &mut Control, now: Time, leaves: Time) -> Option<Vec<Act>> {
     let (mut arrived, mut ended, mut at_call, mut returned, mut gone) =
         (vec![], vec![], vec![], vec![], vec![]);
     let ids: Vec<JobId> = world.jobs.keys().cloned().collect();
@@ -361,18 +353,14 @@
                     _ if luck < 0.3 => Outcome::Severed,
                     _ => Outcome::Completed,
                 };
-                if outcome == Outcome::Overdue {
-                    world.lingering.push(now + linger);
-                }
+                world.lingering.extend((outcome == Outcome::Overdue).then_some(now + linger));
                 known.call_doubt = outcome != Outcome::Completed && !outcome.never_ran();
                 known.at = if outcome == Outcome::Completed { At::Cores(now + ms(work)) } else { At::Call };
                 returned.push((id.clone(), outcome, now.since(since)));
             }
             At::Held | At::Cores(_) | At::Shared if leaving && known.owed => {
                 known.owed = false;
-                if !matches!(known.at, At::Cores(_)) {
-                    known.at = At::Over;
-                }
+                known.at = if matches!(known.at, At::Cores(_)) { known.at } else { At::Over };
                 gone.push(id.clone());
             }
             _ => {}
@@ -394,9 +382,7 @@
     let fired: Vec<u64> = world.timers.iter().filter(|(at, _)| *at <= now).map(|(_, token)| *token).collect();
     world.timers.retain(|(at, _)| *at > now);
     let leaving = (now >= leaves && world.notice.is_none()).then(|| now + ms(4000.0));
-    if let Some(stop) = leaving {
-        world.notice = Some((now, stop));
-    }
+    world.notice = world.notice.or(leaving.map(|stop| (now, stop)));
     let busy = world.chance.draw();
     let lists = [arrived.len(), ended.len(), at_call.len(), returned.len(), gone.len(), fired.len()];
     if lists.iter().sum::<usize>() == 0 && leaving.is_none() {
