--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -206,7 +206,7 @@
     fn steer(&mut self, wait: f64, signal: Signal, outstanding: f64) -> Option<f64> {
         // Only a credit means anything above 1; the others would just be late to close.
         let most = if signal == Signal::Credit { 8.0 } else { 1.0 };
-        let open = most / wait.max(1.0);
+        let open = most / wait.max(1.0).sqrt();
         match signal {
             Signal::Silent => None,
             Signal::Weight => Some(open),
