--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -205,7 +205,7 @@
 impl Openness {
     fn steer(&mut self, wait: f64, signal: Signal, outstanding: f64) -> Option<f64> {
         // Only a credit means anything above 1; the others would just be late to close.
-        let most = if signal == Signal::Credit { 3.0 } else { 1.0 };
+        let most = if signal == Signal::Credit { 5.0 } else { 1.0 };
         let factor = if wait > 1.0 { 1.0 - 0.01 * (wait - 1.0).min(1.0) } else { 1.0 + 0.06 * (1.0 - wait) };
         self.open = (self.open * factor).clamp(0.08, most);
         let open = self.open / wait.max(1.0).sqrt();
