--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -33,7 +33,7 @@
 /// Part of the shortest goal time that jobs may wait on average before surplus is kept away.
 const WAIT_PART: f64 = 0.15;
 /// Part of the mean goal time that jobs may wait unread before fewer run.
-const UNREAD_PART: f64 = 0.09;
+const UNREAD_PART: f64 = 0.07;
 /// Part of its goal time that a job may wait in the hold: one that would wait longer is better off elsewhere.
 const HOLD_PART: f64 = 0.3;
 /// Where a caller comes less than this often while it keeps a value in mind, the value steers little.
