--- /dev/null
+++ b/crates/hazelgrade-server/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    hazelgrade_server::program::command::main()
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -0,0 +1,61 @@
+//! Leaving: from the notice to the exit.
+
+use crate::protocol::jsonrpc;
+use crate::routing::front::Front;
+use crate::routing::rounds::Event;
+use crate::transport::listener::{accept, take_backlog};
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use hazelgrade::time::Span;
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// The listener closes this long before the stop, at the latest, and the process has ended this long before.
+const CLOSED_BEFORE: Duration = Duration::from_millis(150);
+const ENDED_BEFORE: Duration = Duration::from_millis(40);
+/// With no client connected for this long, nobody comes any more.
+const ALONE_FOR: Duration = Duration::from_millis(1500);
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// Answers all that comes until the stop is near or all clients have left; `true` if every answer was written.
+pub async fn leave(
+    front: &Front,
+    listener: Async<TcpListener>,
+    stop: Duration,
+    on: impl Fn(Async<TcpStream>),
+) -> bool {
+    let (began, parts) = (Instant::now(), &front.parts);
+    let stopped_at = parts.rounds.clock.now() + Span::from_ms(stop.as_secs_f64() * 1000.0);
+    tracing::info!(
+        in_hand = parts.hand.count(),
+        owed = parts.hand.owed(),
+        stop_ms = stop.as_millis(),
+        "leaving"
+    );
+    parts.rounds.begin();
+    parts.rounds.tell(Event::Leaving(stopped_at));
+    front.clients.tell_all(jsonrpc::DRAINING);
+    let settled = || parts.hand.owed() == 0 && front.clients.all_quiet();
+    let nobody_comes = async {
+        let mut alone_since = None;
+        while began.elapsed() + CLOSED_BEFORE < stop {
+            Timer::after(LOOK_EVERY).await;
+            let alone = front.clients.count() == 0 && settled();
+            alone_since = alone.then(|| alone_since.unwrap_or_else(Instant::now));
+            if alone_since.is_some_and(|since: Instant| since.elapsed() >= ALONE_FOR) {
+                break;
+            }
+        }
+    };
+    or(nobody_comes, accept(&listener, &front.clients, &on)).await;
+    // What the system has accepted counts, even unread: it is served before the listener goes.
+    take_backlog(&listener, &on);
+    drop(listener);
+    Timer::after(LOOK_EVERY * 4).await;
+    while !settled() && began.elapsed() + ENDED_BEFORE < stop {
+        Timer::after(LOOK_EVERY).await;
+    }
+    let (tally, owed) = (*parts.tally.borrow(), parts.hand.owed());
+    tracing::info!(?tally, owed, after_ms = began.elapsed().as_millis(), "left");
+    settled()
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/program/mod.rs
@@ -0,0 +1,7 @@
+//! The program round the service instance: its command line, configuration, signals, drain and log.
+
+pub mod command;
+pub mod configuration;
+pub mod drain;
+pub mod logging;
+pub mod serve;
--- /dev/null
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -0,0 +1,130 @@
+//! `serve`: one service instance, from its start to its exit.
+
+use super::configuration::Deployment;
+use super::drain;
+use crate::protocol::registry;
+use crate::routing::calls::Calls;
+use crate::routing::front::Front;
+use crate::routing::hand::Hand;
+use crate::routing::job::{Parts, Tally};
+use crate::routing::notices::Notices;
+use crate::routing::repeats::Repeats;
+use crate::routing::rounds::Rounds;
+use crate::transport::clients::Clients;
+use crate::transport::database::Database;
+use crate::transport::executor::Link;
+use crate::transport::listener;
+use crate::transport::registry::Registry;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use futures_lite::future::or;
+use std::cell::{Cell, RefCell};
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const BEAT_EVERY: Duration = Duration::from_millis(500);
+const SUMMARY_EVERY: Duration = Duration::from_secs(10);
+
+/// Serves until the notice to leave, then leaves; `Ok(true)` if every answer was written.
+pub fn serve(deployment: Deployment) -> Result<bool, String> {
+    let (control, site) = hazelgrade_site::instance(&deployment.settings, deployment.seed)
+        .map_err(|fault| format!("settings: {}", fault.0))?;
+    let listener = listener::bind(deployment.listen)
+        .map_err(|error| format!("field listen: {}: {error}", deployment.listen))?;
+    let registry = Registry::new(deployment.registry)
+        .map_err(|error| format!("field registry: {}: {error}", deployment.registry))?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int]).map_err(|error| format!("signals: {error}"))?;
+    tracing::info!(name = deployment.name, listen = %deployment.listen, "started");
+
+    let (hand, repeats) = (Rc::new(Hand::default()), Rc::new(Repeats::default()));
+    let link = Rc::new(Link::new(deployment.executor));
+    let rounds = Rc::new(Rounds::new(control, site.tick, hand.clone(), repeats.clone(), link.clone()));
+    let calls = Rc::new(Calls::new(deployment.database.map(Database::new), hand.clone()));
+    let notices = Notices::new(rounds.clone(), hand.clone(), link.clone(), &site.gauges);
+    let parts = Rc::new(Parts {
+        rounds: rounds.clone(),
+        hand,
+        repeats,
+        calls: calls.clone(),
+        link,
+        use_cases: site.use_cases.iter().map(|case| case.name.clone()).collect(),
+        tally: RefCell::new(Tally::default()),
+    });
+    let tasks = Rc::new(LocalExecutor::new());
+    let list_follows_health = site.list_follows_health;
+    let front = Rc::new(Front {
+        parts: parts.clone(),
+        site,
+        clients: Clients::new(deployment.connections),
+        tasks: tasks.clone(),
+        last_job: Cell::new(Instant::now()),
+        bad_lines: Cell::new(0),
+    });
+    let on_stream = {
+        let (front, tasks) = (front.clone(), tasks.clone());
+        move |stream: Async<TcpStream>| tasks.spawn(front.clone().serve(stream)).detach()
+    };
+
+    let leaving = Rc::new(Cell::new(false));
+    tasks
+        .spawn({
+            let rounds = rounds.clone();
+            async move { rounds.run().await }
+        })
+        .detach();
+    tasks.spawn(async move { notices.keep().await }).detach();
+    tasks.spawn(async move { calls.keep().await }).detach();
+    tasks
+        .spawn({
+            let (rounds, leaving, name) = (rounds.clone(), leaving.clone(), deployment.name.clone());
+            async move {
+                loop {
+                    let ready = !leaving.get() && (rounds.good() || !list_follows_health);
+                    registry.send(&registry::encode(&name, ready));
+                    let due = async {
+                        Timer::after(BEAT_EVERY).await;
+                    };
+                    or(rounds.health_changed(), due).await;
+                }
+            }
+        })
+        .detach();
+    tasks.spawn(summary(front.clone())).detach();
+
+    async_io::block_on(tasks.run(async {
+        let notice = async {
+            signals.next().await;
+        };
+        or(notice, listener::accept(&listener, &front.clients, &on_stream)).await;
+        leaving.set(true);
+        rounds.beat_now();
+        Ok(drain::leave(&front, listener, deployment.stop, &on_stream).await)
+    }))
+}
+
+/// Says now and then what was answered.
+async fn summary(front: Rc<Front>) {
+    let mut before = 0;
+    loop {
+        Timer::after(SUMMARY_EVERY).await;
+        let (parts, tally) = (&front.parts, *front.parts.tally.borrow());
+        if tally.arrived == before {
+            continue;
+        }
+        before = tally.arrived;
+        tracing::info!(
+            ?tally,
+            in_hand = parts.hand.count(),
+            connections = front.clients.count(),
+            rounds = parts.rounds.rounds.get(),
+            longest_round_us = parts.rounds.longest.take().as_micros(),
+            unknown = parts.hand.unknown.get(),
+            bad_lines = front.bad_lines.get(),
+            "so far"
+        );
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc.rs
@@ -0,0 +1,222 @@
+//! JSON-RPC 2.0, one message a line: what client stubs send, and what is answered.
+
+use super::{Body, is_body};
+use hazelgrade::desk::{Job, JobId, Repeats};
+use hazelgrade::time::{Span, Time};
+use hazelgrade_site::Site;
+use serde_json::{Map, Value, json};
+
+/// The longest line of a client: a body of 2 KiB in base64, with room for escapes and unknown fields.
+pub const LONGEST_LINE: usize = 16 * 1024;
+const LONGEST_BODY: usize = 2048;
+const LONGEST_NAME: usize = 256;
+
+const UNREADABLE: i64 = -32700;
+const NOT_A_CALL: i64 = -32600;
+const UNKNOWN_METHOD: i64 = -32601;
+const WRONG_PARAMS: i64 = -32602;
+const BOUNCED: i64 = -32066;
+const WRITTEN_OFF: i64 = -32000;
+
+pub const DRAINING: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"draining\"}\n";
+
+/// A message from a client.
+#[derive(Debug)]
+pub enum Incoming {
+    Job(Box<Asked>),
+    /// A caller no longer waits: for the call with this number on its connection, or for this job.
+    Abort(Option<u64>, Option<JobId>),
+    Check(u64),
+}
+
+/// A job as it was asked for, with the number of its call on its connection.
+#[derive(Debug)]
+pub struct Asked {
+    pub call: u64,
+    pub job: Job,
+    pub body: Body,
+    /// By which further tries of a numbered job, or reads of the same thing, are known.
+    pub mark: Option<String>,
+}
+
+/// What is wrong with a message, as the answer to it tells.
+#[derive(Debug)]
+pub struct Wrong {
+    pub call: Option<u64>,
+    code: i64,
+    message: String,
+}
+
+/// The final answer to a job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Satisfied(Body),
+    Bounced { not_elsewhere: bool, back_in: Span },
+    WrittenOff,
+}
+
+struct Params(Map<String, Value>);
+
+impl Params {
+    fn text(&mut self, field: &str, expected: &str) -> Result<String, String> {
+        match self.0.remove(field) {
+            Some(Value::String(text)) if !text.is_empty() && text.len() <= LONGEST_NAME => Ok(text),
+            _ => Err(format!("field {field}: expected {expected}")),
+        }
+    }
+
+    fn text_or_none(&mut self, field: &str, expected: &str) -> Result<Option<String>, String> {
+        match self.0.get(field) {
+            None | Some(Value::Null) => Ok(None),
+            Some(_) => self.text(field, expected).map(Some),
+        }
+    }
+
+    fn number(&self, field: &str, fits: impl Fn(f64) -> bool, expected: &str) -> Result<f64, String> {
+        let number = self.0.get(field).and_then(Value::as_f64);
+        number.filter(|number| fits(*number)).ok_or_else(|| format!("field {field}: expected {expected}"))
+    }
+}
+
+/// Decodes a line. `site` gives the use cases and customers that a job may name.
+pub fn decode(line: &[u8], site: &Site) -> Result<Incoming, Wrong> {
+    let wrong = |call, code, message: &str| Wrong { call, code, message: message.into() };
+    let value: Value = serde_json::from_slice(line)
+        .map_err(|_| wrong(None, UNREADABLE, "the line is not a JSON value in UTF-8"))?;
+    let Value::Object(mut message) = value else {
+        return Err(wrong(None, NOT_A_CALL, "expected one JSON object; batches are not taken"));
+    };
+    let call = message.get("id").and_then(Value::as_u64);
+    if message.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
+        return Err(wrong(call, NOT_A_CALL, "field jsonrpc: expected \"2.0\""));
+    }
+    let Some(Value::String(method)) = message.remove("method") else {
+        return Err(wrong(call, NOT_A_CALL, "field method: expected a word"));
+    };
+    let mut params = match message.remove("params") {
+        Some(Value::Object(params)) => Params(params),
+        None => Params(Map::new()),
+        Some(_) => return Err(wrong(call, WRONG_PARAMS, "field params: expected an object")),
+    };
+    if method == "abort" {
+        let id = params.text_or_none("req", "a job's id").unwrap_or_default();
+        let named = params.0.get("id").and_then(Value::as_u64).or(call.filter(|_| id.is_none()));
+        return Ok(Incoming::Abort(named, id.map(JobId::from)));
+    }
+    let Some(number) = call else {
+        return Err(wrong(None, NOT_A_CALL, "field id: expected a whole number"));
+    };
+    if method == "ping" {
+        return Ok(Incoming::Check(number));
+    }
+    let Some(use_case) = site.use_cases.iter().position(|case| case.name == method) else {
+        return Err(wrong(call, UNKNOWN_METHOD, "field method: expected a use case of this site"));
+    };
+    match asked(number, use_case, &mut params, site) {
+        Ok(asked) => Ok(Incoming::Job(Box::new(asked))),
+        Err(message) => Err(wrong(call, WRONG_PARAMS, &message)),
+    }
+}
+
+fn asked(call: u64, use_case: usize, params: &mut Params, site: &Site) -> Result<Asked, String> {
+    let id = params.text("req", "a job's id")?;
+    if !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err("field req: expected a job's id without spaces".into());
+    }
+    let reached = params.number("ts", |ts| ts > 0.0 && ts < 1e15, "Unix milliseconds")?;
+    params.number("via", |via| via >= 0.0 && via.fract() == 0.0, "a whole number")?;
+    let owner = params.text_or_none("owner", "a customer of this site")?;
+    let customer = match owner {
+        Some(owner) => site.customers.iter().position(|name| *name == owner),
+        None => site.customers.is_empty().then_some(0),
+    };
+    let customer = match customer {
+        Some(customer) => customer,
+        None if site.customers.is_empty() => 0,
+        None => return Err("field owner: expected a customer of this site".into()),
+    };
+    let again = match params.0.get("resent") {
+        None | Some(Value::Null) => false,
+        Some(_) => params.number("resent", |mark| mark == 0.0 || mark == 1.0, "1, or no such field")? > 0.0,
+    };
+    let held_kb = params.number("need", |kb| kb > 0.0 && kb < 2000.0, "kilobytes, above 0 and under 2000")?;
+    let rank = params.number("level", |rank| (0.0..1.0).contains(&rank), "from 0 to under 1")?;
+    // The page of the protocol names no mark for numbered jobs; the site's list of names calls it `opkey`.
+    let (name, shown) = match site.use_cases[use_case].repeats {
+        Repeats::Reissuable => ("subject", "what a read is about"),
+        _ => ("opkey", "the mark of a numbered job"),
+    };
+    let mark = params.text_or_none(name, shown)?;
+    let body = match params.0.remove("body") {
+        Some(Value::String(body)) if is_body(&body, LONGEST_BODY) => body.into(),
+        _ => return Err("field body: expected base64 for 2048 bytes at most".into()),
+    };
+    let job = Job {
+        id: id.into(),
+        use_case,
+        customer,
+        reached: Time::from_ms(reached),
+        waits_until: None,
+        work: None,
+        held_kb,
+        rank,
+        again,
+        repeats: None,
+    };
+    Ok(Asked { call, job, body, mark })
+}
+
+fn line(value: &Value) -> String {
+    format!("{value}\n")
+}
+
+/// The line that answers a call; `said` is the value that callers are told with it.
+pub fn encode(call: u64, answer: &Answer, said: Option<f64>) -> String {
+    let error = |code, message, data: Map<String, Value>| {
+        line(
+            &json!({"jsonrpc": "2.0", "id": call, "error": {"code": code, "message": message, "data": data}}),
+        )
+    };
+    let mut fields = Map::new();
+    if let Some(said) = said {
+        fields.insert("signal".into(), json!(said));
+    }
+    match answer {
+        Answer::Satisfied(body) => {
+            fields.insert("body".into(), json!(**body));
+            line(&json!({"jsonrpc": "2.0", "id": call, "result": fields}))
+        }
+        Answer::Bounced { not_elsewhere, back_in } => {
+            if *back_in > Span::ZERO {
+                fields.insert("holdoff".into(), json!(back_in.as_ms()));
+            }
+            if *not_elsewhere {
+                fields.insert("nomore".into(), json!(1));
+            }
+            error(BOUNCED, "bounced: this try never ran", fields)
+        }
+        Answer::WrittenOff => error(WRITTEN_OFF, "written off", fields),
+    }
+}
+
+pub fn encode_check(call: u64, good: bool, said: Option<f64>) -> String {
+    let mut result = json!({"up": good});
+    if let Some(said) = said {
+        result["signal"] = json!(said);
+    }
+    line(&json!({"jsonrpc": "2.0", "id": call, "result": result}))
+}
+
+pub fn encode_wrong(wrong: &Wrong) -> String {
+    let error = json!({"code": wrong.code, "message": wrong.message});
+    line(&json!({"jsonrpc": "2.0", "id": wrong.call, "error": error}))
+}
+
+/// The answer to a call whose number is still open on its connection.
+pub fn still_open(call: u64) -> Wrong {
+    Wrong {
+        call: Some(call),
+        code: NOT_A_CALL,
+        message: "field id: a call with this id is still open".into(),
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -0,0 +1,86 @@
+//! What clients send: starts jobs, hears of callers that leave, answers checks and bad input.
+
+use super::hand::Asker;
+use super::job::{self, Parts};
+use crate::protocol::jsonrpc::{self, Asked, Incoming};
+use crate::transport::clients::{Client, Clients};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use hazelgrade::desk::JobId;
+use hazelgrade_site::Site;
+use std::cell::Cell;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Instant;
+
+pub struct Front {
+    pub parts: Rc<Parts>,
+    pub site: Site,
+    pub clients: Clients<JobId>,
+    pub tasks: Rc<LocalExecutor<'static>>,
+    /// When the last job came.
+    pub last_job: Cell<Instant>,
+    pub bad_lines: Cell<u64>,
+}
+
+impl Front {
+    /// Serves one connection of a client until it ends; callers whose connection is gone are gone.
+    pub async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+        let on_line = async |client: &Rc<Client<JobId>>, line: &[u8]| self.take(client, line).await;
+        let (end, open) = self.clients.serve(stream, jsonrpc::LONGEST_LINE, on_line).await;
+        if !open.is_empty() {
+            tracing::debug!(?end, jobs = open.len(), "a connection ended with jobs open");
+        }
+        open.iter().for_each(|id| self.parts.caller_gone(id));
+    }
+
+    async fn take(&self, client: &Rc<Client<JobId>>, line: &[u8]) {
+        let rounds = &self.parts.rounds;
+        match jsonrpc::decode(line, &self.site) {
+            Ok(Incoming::Job(asked)) => {
+                client.room().await;
+                self.arrived(client, *asked);
+            }
+            Ok(Incoming::Abort(call, id)) => {
+                let open = call.and_then(|call| client.is_open(call));
+                if let Some(id) = id.or(open) {
+                    self.parts.caller_gone(&id);
+                }
+            }
+            Ok(Incoming::Check(call)) => {
+                client.put(&jsonrpc::encode_check(call, rounds.good(), rounds.said()));
+            }
+            Err(wrong) => {
+                self.bad_lines.set(self.bad_lines.get() + 1);
+                client.put(&jsonrpc::encode_wrong(&wrong));
+            }
+        }
+    }
+
+    fn arrived(&self, client: &Rc<Client<JobId>>, mut asked: Asked) {
+        let (parts, id, call) = (&self.parts, asked.job.id.clone(), asked.call);
+        let asker = Asker { client: client.clone(), call };
+        if client.is_open(call).is_some() {
+            return client.put(&jsonrpc::encode_wrong(&jsonrpc::still_open(call)));
+        }
+        self.last_job.set(Instant::now());
+        if parts.hand.has(&id) {
+            // Sent again, as after a close that crossed it: one job, answered where it was asked last.
+            match parts.hand.readdress(&id, asker) {
+                Some(before) => {
+                    client.open(call, id);
+                    before.client.close(before.call);
+                }
+                None => client.put(&jsonrpc::encode(call, &jsonrpc::Answer::WrittenOff, parts.rounds.said())),
+            }
+            return;
+        }
+        client.open(call, id.clone());
+        let key = asked.mark.take().map(|mark| (asked.job.use_case, mark));
+        asked.job.reached = parts.rounds.clock.past(asked.job.reached);
+        asked.job.repeats = key.and_then(|key| parts.repeats.arrived(&id, key, asked.job.reached));
+        parts.tally.borrow_mut().arrived += 1;
+        let turns = parts.hand.take(id, asker);
+        self.tasks.spawn(job::live(asked, turns, parts.clone())).detach();
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/hand.rs
@@ -0,0 +1,123 @@
+//! The jobs in hand: by their ids, where each one's turns go, and who is owed its answer.
+
+use super::outcome::CallEnd;
+use crate::protocol::Body;
+use crate::protocol::executor::RunEnd;
+use crate::protocol::jsonrpc::Answer;
+use crate::transport::clients::Client;
+use async_channel::{Receiver, Sender, bounded};
+use hazelgrade::desk::JobId;
+use hazelgrade::time::Span;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// What may wait for a job's task at once; it takes them as they come and never waits for anything else.
+const TURNS: usize = 64;
+
+/// What may happen to a job once it has arrived.
+#[derive(Debug)]
+pub enum Turn {
+    // Decided by the module:
+    Run,
+    Answer(Answer),
+    Call(Span),
+    SkipCall,
+    Stop,
+    Share,
+    // Told by the executor:
+    AtCall {
+        cursor: u64,
+        body: Body,
+    },
+    Ended {
+        end: RunEnd,
+        lasted: Span,
+        body: Body,
+    },
+    NotDone,
+    /// The link is back; a command may have been lost with the old one.
+    Relinked,
+    /// The executor started anew: nothing that ran before runs now.
+    RunsOver,
+    // Told by others:
+    Called(CallEnd),
+    Shared(Option<Body>),
+    CallerGone,
+}
+
+/// A connection, and the number of a call on it.
+#[derive(Clone)]
+pub struct Asker {
+    pub client: Rc<Client<JobId>>,
+    pub call: u64,
+}
+
+struct Slot {
+    turns: Sender<Turn>,
+    asker: Option<Asker>,
+}
+
+#[derive(Default)]
+pub struct Hand {
+    jobs: RefCell<BTreeMap<JobId, Slot>>,
+    pub unknown: Cell<u64>,
+}
+
+impl Hand {
+    pub fn take(&self, id: JobId, asker: Asker) -> Receiver<Turn> {
+        let (sender, turns) = bounded(TURNS);
+        self.jobs.borrow_mut().insert(id, Slot { turns: sender, asker: Some(asker) });
+        turns
+    }
+
+    pub fn let_go(&self, id: &JobId) {
+        self.jobs.borrow_mut().remove(id);
+    }
+
+    pub fn has(&self, id: &JobId) -> bool {
+        self.jobs.borrow().contains_key(id)
+    }
+
+    pub fn count(&self) -> usize {
+        self.jobs.borrow().len()
+    }
+
+    /// How many are still owed an answer.
+    pub fn owed(&self) -> usize {
+        self.jobs.borrow().values().filter(|slot| slot.asker.is_some()).count()
+    }
+
+    pub fn is_owed(&self, id: &JobId) -> bool {
+        self.jobs.borrow().get(id).is_some_and(|slot| slot.asker.is_some())
+    }
+
+    /// Takes the right to answer: whoever gets it answers, and nobody after.
+    pub fn asker(&self, id: &JobId) -> Option<Asker> {
+        self.jobs.borrow_mut().get_mut(id).and_then(|slot| slot.asker.take())
+    }
+
+    /// The answer goes to this asker from now on; gives the one before, if the job is still owed an answer.
+    pub fn readdress(&self, id: &JobId, asker: Asker) -> Option<Asker> {
+        self.jobs.borrow_mut().get_mut(id).and_then(|slot| slot.asker.as_mut()?.into_replaced(asker))
+    }
+
+    pub fn send(&self, id: &JobId, turn: Turn) {
+        match self.jobs.borrow().get(id) {
+            Some(slot) if slot.turns.try_send(turn).is_ok() => {}
+            Some(_) => tracing::error!(%id, "a job has more turns waiting than it can have"),
+            None => self.unknown.set(self.unknown.get() + 1),
+        }
+    }
+
+    pub fn send_all(&self, turn: impl Fn() -> Turn) {
+        let ids: Vec<JobId> = self.jobs.borrow().keys().cloned().collect();
+        ids.iter().for_each(|id| self.send(id, turn()));
+    }
+}
+
+impl Asker {
+    fn into_replaced(&mut self, by: Asker) -> Option<Asker> {
+        Some(std::mem::replace(self, by))
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -0,0 +1,240 @@
+//! The life of a job, from its arrival to the end of its run.
+
+use super::calls::Calls;
+use super::hand::{Hand, Turn};
+use super::outcome::{self, CallEnd};
+use super::repeats::Repeats;
+use super::rounds::{Event, Rounds};
+use crate::protocol::executor::{Command, RunEnd, encode};
+use crate::protocol::jsonrpc::{self, Answer, Asked};
+use crate::protocol::{Body, from_bytes, to_bytes};
+use crate::transport::executor::Link;
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::future::or;
+use hazelgrade::desk::{JobId, Outcome};
+use hazelgrade::time::{Span, Time};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A call is taken as silent this long after the time that the database was given for it.
+const SILENT_AFTER: Duration = Duration::from_millis(200);
+
+/// Answers by kind, since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub arrived: u64,
+    pub satisfied: u64,
+    pub bounced: u64,
+    pub written_off: u64,
+    pub callers_gone: u64,
+    /// Ends of runs whose job was answered before.
+    pub unwanted: u64,
+}
+
+/// What the life of a job needs of its surroundings.
+pub struct Parts {
+    pub rounds: Rc<Rounds>,
+    pub hand: Rc<Hand>,
+    pub repeats: Rc<Repeats>,
+    pub calls: Rc<Calls>,
+    pub link: Rc<Link>,
+    pub use_cases: Vec<String>,
+    pub tally: RefCell<Tally>,
+}
+
+impl Parts {
+    /// Gives the final answer, unless it was given or nobody waits for it any more.
+    fn answer(&self, id: &JobId, answer: &Answer) {
+        let mut tally = self.tally.borrow_mut();
+        let Some(asker) = self.hand.asker(id) else {
+            tally.unwanted += 1;
+            return;
+        };
+        match answer {
+            Answer::Satisfied(_) => tally.satisfied += 1,
+            Answer::Bounced { .. } => tally.bounced += 1,
+            Answer::WrittenOff => tally.written_off += 1,
+        }
+        asker.client.put(&jsonrpc::encode(asker.call, answer, self.rounds.said()));
+        asker.client.close(asker.call);
+    }
+
+    /// The caller no longer waits. The module hears it before its next round, so that it can't decide to run
+    /// a job whose task has ended.
+    pub fn caller_gone(&self, id: &JobId) {
+        if let Some(asker) = self.hand.asker(id) {
+            self.tally.borrow_mut().callers_gone += 1;
+            asker.client.close(asker.call);
+            self.rounds.tell(Event::CallerGone(id.clone()));
+            self.hand.send(id, Turn::CallerGone);
+        }
+    }
+
+    fn send(&self, command: &Command) {
+        self.link.send(&encode(command));
+    }
+}
+
+/// A run that stands at a call.
+struct AtCall {
+    cursor: u64,
+    body: Body,
+    /// When the call was made, and when it is taken as silent.
+    made: Option<(Time, Instant)>,
+}
+
+/// The last command that the executor may not have got.
+enum Last {
+    Run,
+    Reply(Body),
+    SkipCall(u64),
+}
+
+/// Lives through a job. Its turns come one by one: decisions of the module, and what the others tell.
+pub async fn live(asked: Asked, turns: Receiver<Turn>, parts: Rc<Parts>) {
+    let Asked { job, body, .. } = asked;
+    let (id, use_case, repeats) =
+        (job.id.clone(), parts.use_cases[job.use_case].clone(), job.repeats.clone());
+
+    // It has arrived; the module hears of it, and its verdict comes as a turn.
+    parts.rounds.tell(Event::Arrived(job));
+    let mut result = None;
+    'in_hand: loop {
+        // Held, until it is run, answered, or its caller is gone.
+        loop {
+            let Ok(turn) = turns.recv().await else { break 'in_hand };
+            match turn {
+                Turn::Run => break,
+                Turn::Answer(answer) => {
+                    parts.answer(&id, &answer);
+                    break 'in_hand;
+                }
+                Turn::CallerGone => break 'in_hand,
+                Turn::Share => {
+                    let prior = repeats.as_ref().unwrap_or(&id);
+                    if let Some(body) = parts.repeats.share(&id, prior) {
+                        parts.hand.send(&id, Turn::Shared(body));
+                    }
+                }
+                Turn::Shared(body) => {
+                    let answer = body.clone().map_or(Answer::WrittenOff, Answer::Satisfied);
+                    let outcome = body.as_ref().map_or(Outcome::Errored, |_| Outcome::Completed);
+                    parts.answer(&id, &answer);
+                    parts.rounds.tell(Event::RunEnded(id.clone(), outcome, Span::ZERO));
+                    result = body;
+                    break 'in_hand;
+                }
+                _ => {}
+            }
+        }
+
+        // Run. An answer may be given before the run has ended; what it yields is dropped then.
+        parts.send(&Command::Run { id: &id, use_case: &use_case, body: &body });
+        let began = parts.rounds.clock.now();
+        let (mut last, mut stopping, mut at_call) = (Some(Last::Run), false, None::<AtCall>);
+        let (end, lasted, yielded) = loop {
+            let silent = at_call.as_ref().and_then(|at| at.made).map(|(_, silent)| silent);
+            let Some(turn) = next(&turns, silent).await else { break 'in_hand };
+            match turn {
+                Turn::Ended { end, lasted, body } => break (end, lasted, body),
+                Turn::AtCall { cursor, body } => {
+                    (last, at_call) = (None, Some(AtCall { cursor, body, made: None }));
+                    parts.rounds.tell(Event::AtCall(id.clone()));
+                }
+                Turn::Call(within) => {
+                    let Some(at) = &mut at_call else { continue };
+                    let silent = Duration::from_secs_f64(within.as_ms() / 1000.0) + SILENT_AFTER;
+                    at.made = Some((parts.rounds.clock.now(), Instant::now() + silent));
+                    match to_bytes(&at.body) {
+                        Some(bytes) => parts.calls.make(&id, within, &bytes),
+                        None => parts.hand.send(&id, Turn::Called(CallEnd::unreadable())),
+                    }
+                }
+                Turn::Called(called) => {
+                    let Some((made, _)) = at_call.as_mut().and_then(|at| at.made.take()) else { continue };
+                    if let CallEnd::Silent = called {
+                        parts.calls.give_up(&id);
+                    }
+                    let (outcome, took) = (outcome::of_call(&called), parts.rounds.clock.now().since(made));
+                    if let CallEnd::Replied(_, reply) = called
+                        && outcome == Outcome::Completed
+                    {
+                        let reply = from_bytes(&reply);
+                        parts.send(&Command::Reply { id: &id, body: &reply });
+                        (last, at_call) = (Some(Last::Reply(reply)), None);
+                    }
+                    parts.rounds.tell(Event::CallEnded(id.clone(), outcome, took));
+                }
+                Turn::SkipCall => {
+                    let Some(AtCall { cursor, .. }) = at_call.take() else { continue };
+                    parts.send(&Command::SkipCall { id: &id, cursor });
+                    last = Some(Last::SkipCall(cursor));
+                }
+                Turn::Stop => {
+                    stopping = true;
+                    parts.send(&Command::Stop { id: &id });
+                }
+                Turn::Answer(answer) => parts.answer(&id, &answer),
+                Turn::Relinked => {
+                    match &last {
+                        Some(Last::Run) => {
+                            parts.send(&Command::Run { id: &id, use_case: &use_case, body: &body })
+                        }
+                        Some(Last::Reply(body)) => parts.send(&Command::Reply { id: &id, body }),
+                        Some(Last::SkipCall(cursor)) => {
+                            parts.send(&Command::SkipCall { id: &id, cursor: *cursor })
+                        }
+                        None => {}
+                    }
+                    if stopping {
+                        parts.send(&Command::Stop { id: &id });
+                    }
+                }
+                Turn::NotDone if matches!(last, Some(Last::Run)) => {
+                    tracing::warn!(%id, "the executor did not start a run");
+                    break (RunEnd::Gone, Span::ZERO, "".into());
+                }
+                Turn::RunsOver => {
+                    let lasted = parts.rounds.clock.now().since(began);
+                    break (RunEnd::Bad, lasted, "".into());
+                }
+                Turn::CallerGone | Turn::Run | Turn::Share | Turn::Shared(_) | Turn::NotDone => {}
+            }
+        };
+
+        // The run is over, and with it its call.
+        parts.calls.give_up(&id);
+        let outcome = outcome::of_run(end);
+        let held_again = outcome == Outcome::Stopped && parts.hand.is_owed(&id);
+        parts.rounds.tell(Event::RunEnded(id.clone(), outcome, lasted));
+        if held_again {
+            continue;
+        }
+        if outcome == Outcome::Completed {
+            result = Some(yielded.clone());
+            parts.answer(&id, &Answer::Satisfied(yielded));
+        } else {
+            parts.answer(&id, &Answer::WrittenOff);
+        }
+        break;
+    }
+
+    // It leaves the hand; repeats that waited for its result get it.
+    parts.hand.let_go(&id);
+    let now = parts.rounds.clock.now();
+    for repeat in parts.repeats.done(&id, now, result.clone()) {
+        parts.hand.send(&repeat, Turn::Shared(result.clone()));
+    }
+}
+
+/// The next turn; that the call was silent, once its time is over.
+async fn next(turns: &Receiver<Turn>, silent: Option<Instant>) -> Option<Turn> {
+    let Some(at) = silent else { return turns.recv().await.ok() };
+    let late = async {
+        Timer::at(at).await;
+        Some(Turn::Called(CallEnd::Silent))
+    };
+    or(async { turns.recv().await.ok() }, late).await
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/mod.rs
@@ -0,0 +1,11 @@
+//! Between the sockets and the module: the life of a job, the rounds, who has what in hand.
+
+pub mod calls;
+pub mod clock;
+pub mod front;
+pub mod hand;
+pub mod job;
+pub mod notices;
+pub mod outcome;
+pub mod repeats;
+pub mod rounds;
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/notices.rs
@@ -0,0 +1,125 @@
+//! What the executor tells: each notice is heard once and handed to its job.
+
+use super::hand::{Hand, Turn};
+use super::rounds::Rounds;
+use crate::protocol::executor::{self, Command, Notice};
+use crate::transport::ending::ConnectionEnd;
+use crate::transport::executor::Link;
+use hazelgrade::time::Span;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Ticket of the gauges that are asked for after a new link: their answer comes after all missed notices.
+const ALL_HEARD: &str = "all-heard";
+/// By so much the executor's word of how long it is up may lie apart from the clock here.
+const APART: Duration = Duration::from_millis(100);
+
+pub struct Notices {
+    rounds: Rc<Rounds>,
+    hand: Rc<Hand>,
+    link: Rc<Link>,
+    /// The place of the busy part of the cores among the gauges.
+    cores_used: Option<usize>,
+    heard: Cell<u64>,
+    joined: Cell<Instant>,
+    /// When the executor last said how long it is up, and how long that was.
+    up: Cell<Option<(Instant, Span)>>,
+    unreadable: Cell<u64>,
+}
+
+impl Notices {
+    pub fn new(rounds: Rc<Rounds>, hand: Rc<Hand>, link: Rc<Link>, gauges: &[String]) -> Notices {
+        Notices {
+            rounds,
+            hand,
+            link,
+            cores_used: gauges.iter().position(|name| name == "core_use"),
+            heard: Cell::new(0),
+            joined: Cell::new(Instant::now()),
+            up: Cell::new(None),
+            unreadable: Cell::new(0),
+        }
+    }
+
+    /// Holds the link for good.
+    pub async fn keep(&self) {
+        let hello = || {
+            self.joined.set(Instant::now());
+            executor::encode(&Command::Join { cursor: self.heard.get() })
+        };
+        let ended = |end: ConnectionEnd| {
+            if end != ConnectionEnd::Unreachable {
+                tracing::warn!(?end, "the executor link ended");
+            }
+        };
+        self.link.keep(executor::LONGEST_LINE, hello, |line| self.take(line), ended).await;
+    }
+
+    /// `false` for a notice that was heard on an earlier link.
+    fn is_new(&self, cursor: u64) -> bool {
+        let new = cursor > self.heard.get();
+        self.heard.set(self.heard.get().max(cursor));
+        new
+    }
+
+    fn take(&self, line: &[u8]) -> Result<(), ConnectionEnd> {
+        let notice = match executor::decode(line) {
+            Ok(notice) => notice,
+            Err(error) => {
+                self.unreadable.set(self.unreadable.get() + 1);
+                if self.unreadable.get().is_power_of_two() {
+                    tracing::warn!(error, count = self.unreadable.get(), "a notice can't be read");
+                }
+                return Ok(());
+            }
+        };
+        match notice {
+            Notice::Welcome { fate, up_for } => self.welcome(&fate, up_for),
+            Notice::Ended { cursor, id, end, lasted, body } if self.is_new(cursor) => {
+                self.hand.send(&id, Turn::Ended { end, lasted, body });
+            }
+            Notice::AtCall { cursor, id, body } if self.is_new(cursor) => {
+                self.hand.send(&id, Turn::AtCall { cursor, body });
+            }
+            Notice::Ended { .. } | Notice::AtCall { .. } => {}
+            Notice::Gauges { ticket, .. } if ticket == ALL_HEARD => self.hand.send_all(|| Turn::Relinked),
+            Notice::Gauges { ticket, figures } => {
+                let used = self.cores_used.and_then(|place| figures.get(place)).copied();
+                self.rounds.gauges(&ticket, used.filter(|used| used.is_finite()));
+            }
+            Notice::NotDone { command, id } => {
+                tracing::debug!(command, ?id, "a command was not carried out");
+                if let Some(id) = id.filter(|_| command == "EXEC") {
+                    self.hand.send(&id, Turn::NotDone);
+                }
+            }
+            Notice::Remark { cursor, text } => {
+                if self.is_new(cursor) {
+                    tracing::debug!(text, "the executor remarks");
+                }
+            }
+            Notice::Unknown { event, cursor } => {
+                cursor.map(|cursor| self.is_new(cursor));
+                tracing::debug!(event, "an unknown notice");
+            }
+        }
+        Ok(())
+    }
+
+    fn welcome(&self, fate: &str, up_for: Span) {
+        let before = self.up.replace(Some((Instant::now(), up_for)));
+        tracing::info!(fate, up_for_ms = up_for.as_ms(), "the executor is there");
+        self.rounds.begin();
+        if let Some((heard, was_up)) = before {
+            // The same executor has been up for at least as long as it said, and the time since.
+            let since = self.joined.get().saturating_duration_since(heard).saturating_sub(APART);
+            if up_for < was_up + Span::from_ms(since.as_secs_f64() * 1000.0) {
+                tracing::warn!("the executor started anew: what ran there is over");
+                self.hand.send_all(|| Turn::RunsOver);
+            } else {
+                self.link.send(&executor::encode(&Command::Gauges { ticket: ALL_HEARD }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/outcome.rs
@@ -0,0 +1,51 @@
+//! The one place where the ends of runs, calls and connections become outcomes of the module.
+
+use crate::protocol::database::Reply;
+use crate::protocol::executor::RunEnd;
+use crate::transport::ending::ConnectionEnd;
+use hazelgrade::desk::Outcome;
+
+/// How a call ended.
+#[derive(Clone, Debug)]
+pub enum CallEnd {
+    Replied(Reply, Vec<u8>),
+    /// Nothing was heard of it in its time.
+    Silent,
+    Lost(ConnectionEnd),
+}
+
+pub fn of_run(end: RunEnd) -> Outcome {
+    match end {
+        RunEnd::Good => Outcome::Completed,
+        RunEnd::Bad => Outcome::Errored,
+        RunEnd::Cut => Outcome::Stopped,
+        RunEnd::Gone => Outcome::Moot,
+    }
+}
+
+pub fn of_call(end: &CallEnd) -> Outcome {
+    match end {
+        CallEnd::Replied(Reply::Rows, _) => Outcome::Completed,
+        CallEnd::Replied(Reply::Full, _) => Outcome::Full,
+        CallEnd::Replied(Reply::Fail, _) => Outcome::Errored,
+        CallEnd::Replied(Reply::Timeout, _) | CallEnd::Silent => Outcome::Overdue,
+        CallEnd::Replied(Reply::Nobody, _) => Outcome::Moot,
+        CallEnd::Lost(ConnectionEnd::Unreachable) => Outcome::Unreachable,
+        CallEnd::Lost(
+            ConnectionEnd::Closed
+            | ConnectionEnd::CutShort
+            | ConnectionEnd::Reset
+            | ConnectionEnd::TooLong
+            | ConnectionEnd::Unreadable
+            | ConnectionEnd::Overrun
+            | ConnectionEnd::Idle,
+        ) => Outcome::Severed,
+    }
+}
+
+impl CallEnd {
+    /// The body of the call can't be read: it was not made.
+    pub fn unreadable() -> CallEnd {
+        CallEnd::Lost(ConnectionEnd::Unreachable)
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/rounds.rs
@@ -0,0 +1,253 @@
+//! The rounds: owns the module, gathers what came in, calls the module at most once a tick and when it asked
+//! to be woken, and hands each decision to its job.
+
+use super::clock::Clock;
+use super::hand::{Hand, Turn};
+use super::repeats::Repeats;
+use crate::bell::Bell;
+use crate::protocol::executor::{self, Command};
+use crate::protocol::jsonrpc::Answer;
+use crate::transport::executor::Link;
+use async_io::Timer;
+use futures_lite::future::or;
+use hazelgrade::control::{Control, Inflow};
+use hazelgrade::desk::{Decisions, Job, JobId, Outcome};
+use hazelgrade::time::{Span, Time};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long the gauges may take; a timer that is due goes on without them then.
+const GAUGES_WITHIN: Duration = Duration::from_millis(25);
+/// Timers that may be set at once; the module needs the soonest only.
+const TIMERS: usize = 256;
+
+/// What came in.
+#[derive(Debug)]
+pub enum Event {
+    Arrived(Job),
+    RunEnded(JobId, Outcome, Span),
+    AtCall(JobId),
+    CallEnded(JobId, Outcome, Span),
+    CallerGone(JobId),
+    Leaving(Time),
+    Woke(u64, Option<f64>),
+}
+
+pub struct Rounds {
+    control: RefCell<Control>,
+    pub clock: Clock,
+    tick: Duration,
+    events: RefCell<Vec<Event>>,
+    came: Bell,
+    open: Cell<bool>,
+    timers: RefCell<BTreeSet<(Time, u64)>>,
+    /// Timers that are due, until when each waits for the gauges.
+    due: RefCell<BTreeMap<u64, Instant>>,
+    said: Cell<Option<f64>>,
+    good: Cell<bool>,
+    health_changed: Bell,
+    hand: Rc<Hand>,
+    repeats: Rc<Repeats>,
+    link: Rc<Link>,
+    pub rounds: Cell<u64>,
+    pub longest: Cell<Duration>,
+}
+
+impl Rounds {
+    pub fn new(control: Control, tick: Span, hand: Rc<Hand>, repeats: Rc<Repeats>, link: Rc<Link>) -> Rounds {
+        Rounds {
+            control: RefCell::new(control),
+            clock: Clock::default(),
+            tick: Duration::from_secs_f64(tick.as_ms() / 1000.0),
+            events: RefCell::default(),
+            came: Bell::default(),
+            open: Cell::new(false),
+            timers: RefCell::default(),
+            due: RefCell::default(),
+            said: Cell::new(None),
+            good: Cell::new(true),
+            health_changed: Bell::default(),
+            hand,
+            repeats,
+            link,
+            rounds: Cell::new(0),
+            longest: Cell::new(Duration::ZERO),
+        }
+    }
+
+    pub fn tell(&self, event: Event) {
+        self.events.borrow_mut().push(event);
+        self.came.ring();
+    }
+
+    /// The executor is up: the module's clock starts with the first round, so there is none before.
+    pub fn begin(&self) {
+        self.open.set(true);
+        self.came.ring();
+    }
+
+    /// The value to say to callers.
+    pub fn said(&self) -> Option<f64> {
+        self.said.get()
+    }
+
+    pub fn good(&self) -> bool {
+        self.good.get()
+    }
+
+    pub async fn health_changed(&self) {
+        self.health_changed.heard().await;
+    }
+
+    /// The registry is to hear at once.
+    pub fn beat_now(&self) {
+        self.health_changed.ring();
+    }
+
+    /// The gauges came, for the timer that asked for them.
+    pub fn gauges(&self, ticket: &str, cores_used: Option<f64>) {
+        let token = ticket.parse().ok().filter(|token| self.due.borrow_mut().remove(token).is_some());
+        if let Some(token) = token {
+            self.tell(Event::Woke(token, cores_used));
+        }
+    }
+
+    pub async fn run(&self) {
+        while !self.open.get() {
+            self.came.heard().await;
+        }
+        loop {
+            self.round();
+            let next = Instant::now() + self.tick;
+            while self.events.borrow().is_empty() {
+                self.wait().await;
+            }
+            Timer::at(next).await;
+        }
+    }
+
+    /// Until something came in or a timer is due; for that the gauges are asked first.
+    async fn wait(&self) {
+        let now = self.clock.now();
+        let timer = self.timers.borrow().first().copied();
+        if let Some((at, token)) = timer.filter(|(at, _)| *at <= now) {
+            self.timers.borrow_mut().remove(&(at, token));
+            self.due.borrow_mut().insert(token, Instant::now() + GAUGES_WITHIN);
+            let ticket = token.to_string();
+            self.link.send(&executor::encode(&Command::Gauges { ticket: &ticket }));
+            return;
+        }
+        let late = self.due.borrow().iter().find(|(_, by)| **by <= Instant::now()).map(|(token, _)| *token);
+        if let Some(token) = late {
+            self.due.borrow_mut().remove(&token);
+            return self.tell(Event::Woke(token, None));
+        }
+        let timer =
+            timer.map(|(at, _)| Instant::now() + Duration::from_secs_f64(at.since(now).as_ms() / 1000.0));
+        let due = self.due.borrow().values().min().copied();
+        match timer.into_iter().chain(due).min() {
+            Some(at) => {
+                let slept = async {
+                    Timer::at(at).await;
+                };
+                or(self.came.heard(), slept).await;
+            }
+            None => self.came.heard().await,
+        }
+    }
+
+    fn round(&self) {
+        let (began, now) = (Instant::now(), self.clock.now());
+        let events = self.events.take();
+        let feed = |inflow: &mut Inflow| {
+            for event in events {
+                match event {
+                    Event::Arrived(job) => inflow.arrived(job),
+                    Event::RunEnded(id, outcome, took) => inflow.run_ended(&id, outcome, took),
+                    Event::AtCall(id) => inflow.at_call(&id),
+                    Event::CallEnded(id, outcome, took) => inflow.call_ended(&id, outcome, took),
+                    Event::CallerGone(id) => inflow.caller_gone(&id),
+                    Event::Leaving(stop) => inflow.leaving(stop),
+                    Event::Woke(token, cores_used) => inflow.woke(token, cores_used),
+                }
+            }
+        };
+        self.control.borrow_mut().round(now, feed, &mut Writer { rounds: self, now });
+        self.rounds.set(self.rounds.get() + 1);
+        self.longest.set(self.longest.get().max(began.elapsed()));
+    }
+}
+
+/// Takes the decisions of one round.
+struct Writer<'a> {
+    rounds: &'a Rounds,
+    now: Time,
+}
+
+impl Writer<'_> {
+    fn turn(&self, id: &JobId, turn: Turn) {
+        self.rounds.hand.send(id, turn);
+    }
+}
+
+impl Decisions for Writer<'_> {
+    fn run(&mut self, id: &JobId) {
+        self.turn(id, Turn::Run);
+    }
+
+    fn bounce(&mut self, id: &JobId, not_elsewhere: bool, back_in: Span) {
+        self.turn(id, Turn::Answer(Answer::Bounced { not_elsewhere, back_in }));
+    }
+
+    fn write_off(&mut self, id: &JobId) {
+        self.turn(id, Turn::Answer(Answer::WrittenOff));
+    }
+
+    fn call(&mut self, id: &JobId, within: Span) {
+        self.turn(id, Turn::Call(within));
+    }
+
+    fn skip_call(&mut self, id: &JobId) {
+        self.turn(id, Turn::SkipCall);
+    }
+
+    fn stop(&mut self, id: &JobId) {
+        self.turn(id, Turn::Stop);
+    }
+
+    fn share(&mut self, id: &JobId) {
+        self.turn(id, Turn::Share);
+    }
+
+    fn remember(&mut self, id: &JobId, span: Span) {
+        self.rounds.repeats.remember(id, self.now, span);
+    }
+
+    fn forget(&mut self, id: &JobId) {
+        self.rounds.repeats.forget(id);
+    }
+
+    fn say(&mut self, value: f64) {
+        self.rounds.said.set(Some(value));
+    }
+
+    fn health(&mut self, good: bool, _from_store: bool) {
+        if self.rounds.good.replace(good) != good {
+            self.rounds.health_changed.ring();
+        }
+    }
+
+    fn wake_at(&mut self, at: Time, token: u64) {
+        let mut timers = self.rounds.timers.borrow_mut();
+        timers.insert((at, token));
+        if timers.len() > TIMERS {
+            timers.pop_last();
+        }
+    }
+
+    fn note(&mut self, text: &str) {
+        tracing::debug!(text, "the module notes");
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/transport/clients.rs
@@ -0,0 +1,171 @@
+//! The connections of client stubs: each with a reader and a writer of its own, so that none delays another.
+
+use super::ending::ConnectionEnd;
+use super::lines::read_line;
+use super::outbox::Outbox;
+use crate::bell::Bell;
+use async_io::Async;
+use futures_lite::future::or;
+use futures_lite::io::BufReader;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Calls that a client may have open on one connection.
+pub const MOST_OPEN: usize = 32;
+/// Room for the answers to all of these, at 4 KiB in base64 each, and some checks.
+const OUTBOX_BYTES: usize = 256 * 1024;
+/// Above this, a connection is not read until its peer takes what it was sent.
+const SLACK_BYTES: usize = 64;
+
+/// A connection of a client. Its calls are told apart by their number.
+pub struct Client<T> {
+    pub number: u64,
+    outbox: Outbox,
+    open: RefCell<BTreeMap<u64, T>>,
+    closed_one: Bell,
+    used: Cell<Instant>,
+}
+
+impl<T: Clone> Client<T> {
+    pub fn put(&self, message: &str) {
+        self.used.set(Instant::now());
+        self.outbox.put(message.as_bytes());
+    }
+
+    /// Opens a call; `false` if one with its number is open.
+    pub fn open(&self, call: u64, what: T) -> bool {
+        self.used.set(Instant::now());
+        self.open.borrow_mut().insert(call, what).is_none()
+    }
+
+    pub fn is_open(&self, call: u64) -> Option<T> {
+        self.open.borrow().get(&call).cloned()
+    }
+
+    pub fn close(&self, call: u64) {
+        self.open.borrow_mut().remove(&call);
+        self.closed_one.ring();
+    }
+
+    /// Nothing is owed on it: no call is open and every answer was handed to the system.
+    pub fn is_quiet(&self) -> bool {
+        self.open.borrow().is_empty() && self.outbox.unwritten() == 0
+    }
+
+    /// Waits while it has as many calls open as it may.
+    pub async fn room(&self) {
+        while self.open.borrow().len() >= MOST_OPEN {
+            self.closed_one.heard().await;
+        }
+    }
+
+    async fn read(
+        &self,
+        stream: &Async<TcpStream>,
+        longest: usize,
+        on_line: impl AsyncFn(&[u8]),
+    ) -> ConnectionEnd {
+        let (mut source, mut line) = (BufReader::with_capacity(4096, stream), Vec::new());
+        loop {
+            if self.outbox.unwritten() > MOST_OPEN + SLACK_BYTES {
+                self.outbox.emptied().await;
+            }
+            match read_line(&mut source, &mut line, longest).await {
+                Ok(()) => on_line(&line).await,
+                Err(ConnectionEnd::Closed) => break,
+                Err(end) => return end,
+            }
+        }
+        // It sends nothing more, but may still read what it is owed.
+        while !self.open.borrow().is_empty() {
+            self.closed_one.heard().await;
+        }
+        self.outbox.emptied().await;
+        ConnectionEnd::Closed
+    }
+}
+
+/// All connections of clients.
+pub struct Clients<T> {
+    table: RefCell<BTreeMap<u64, (Rc<Client<T>>, Rc<Bell>)>>,
+    numbers: Cell<u64>,
+    pub most: usize,
+    pub accepted: Cell<Instant>,
+    /// What each new connection is told first.
+    greeting: RefCell<Option<String>>,
+}
+
+impl<T: Clone> Clients<T> {
+    pub fn new(most: usize) -> Clients<T> {
+        Clients {
+            table: RefCell::default(),
+            numbers: Cell::new(0),
+            most,
+            accepted: Cell::new(Instant::now()),
+            greeting: RefCell::default(),
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.table.borrow().len()
+    }
+
+    /// Tells all clients, and each that connects from now on.
+    pub fn tell_all(&self, message: &str) {
+        *self.greeting.borrow_mut() = Some(message.into());
+        self.table.borrow().values().for_each(|(client, _)| client.put(message));
+    }
+
+    pub fn all_quiet(&self) -> bool {
+        self.table.borrow().values().all(|(client, _)| client.is_quiet())
+    }
+
+    /// Closes the connection that was idle longest and has nothing open; `false` if there is none.
+    pub fn close_idlest(&self) -> bool {
+        let table = self.table.borrow();
+        let idle = table.values().filter(|(client, _)| client.is_quiet());
+        let idlest = idle.min_by_key(|(client, _)| client.used.get());
+        idlest.inspect(|(_, close)| close.ring()).is_some()
+    }
+
+    /// Serves one connection until it ends, and gives what was open on it then.
+    pub async fn serve(
+        &self,
+        stream: Async<TcpStream>,
+        longest: usize,
+        on_line: impl AsyncFn(&Rc<Client<T>>, &[u8]),
+    ) -> (ConnectionEnd, Vec<T>) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let number = self.numbers.get() + 1;
+        self.numbers.set(number);
+        self.accepted.set(Instant::now());
+        let client = Rc::new(Client {
+            number,
+            outbox: Outbox::new(OUTBOX_BYTES),
+            open: RefCell::default(),
+            closed_one: Bell::default(),
+            used: Cell::new(Instant::now()),
+        });
+        if let Some(greeting) = &*self.greeting.borrow() {
+            client.put(greeting);
+        }
+        let close = Rc::new(Bell::default());
+        self.table.borrow_mut().insert(number, (client.clone(), close.clone()));
+        let mut sink = &stream;
+        let closed = async {
+            loop {
+                close.heard().await;
+                if client.is_quiet() {
+                    break ConnectionEnd::Idle;
+                }
+            }
+        };
+        let read = client.read(&stream, longest, async |line: &[u8]| on_line(&client, line).await);
+        let end = or(or(closed, read), client.outbox.write_to(&mut sink)).await;
+        self.table.borrow_mut().remove(&number);
+        (end, client.open.take().into_values().collect())
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -0,0 +1,117 @@
+//! The connection to what lies below: opened when a call needs it, closed when it lies idle.
+
+use super::ending::ConnectionEnd;
+use super::lines::{read_body, read_line};
+use super::outbox::Outbox;
+use crate::bell::Bell;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use futures_lite::io::BufReader;
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const OUTBOX_BYTES: usize = 4 * 1024 * 1024;
+/// The peer closes after 10 s; a call that crossed that would be lost.
+const IDLE: Duration = Duration::from_secs(5);
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+
+pub struct Database {
+    address: SocketAddr,
+    /// What waits for the connection that stands or is being opened, and its number.
+    outbox: RefCell<Option<Rc<Outbox>>>,
+    number: Cell<u64>,
+    wanted: Bell,
+    used: Cell<Instant>,
+}
+
+impl Database {
+    pub fn new(address: SocketAddr) -> Database {
+        Database {
+            address,
+            outbox: RefCell::default(),
+            number: Cell::new(0),
+            wanted: Bell::default(),
+            used: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Sends a message on the connection, opening one if none stands; gives the number of the connection.
+    pub fn send(&self, message: &[u8]) -> u64 {
+        self.used.set(Instant::now());
+        let mut outbox = self.outbox.borrow_mut();
+        let outbox = outbox.get_or_insert_with(|| {
+            self.number.set(self.number.get() + 1);
+            self.wanted.ring();
+            Rc::new(Outbox::new(OUTBOX_BYTES))
+        });
+        outbox.put(message);
+        self.number.get()
+    }
+
+    /// Sends a message only if a connection stands.
+    pub fn send_if_open(&self, message: &[u8]) {
+        if let Some(outbox) = &*self.outbox.borrow() {
+            outbox.put(message);
+        }
+    }
+
+    /// Opens connections as they are wanted, for good. `on_head` decodes the line of a reply and gives the
+    /// length of its body; `on_end` hears which connection ended.
+    pub async fn keep<H>(
+        &self,
+        longest: usize,
+        on_head: impl Fn(&[u8]) -> Result<(H, Option<usize>), ConnectionEnd>,
+        on_reply: impl Fn(H, Vec<u8>),
+        busy: impl Fn() -> bool,
+        on_end: impl Fn(u64, ConnectionEnd),
+    ) {
+        loop {
+            self.wanted.heard().await;
+            let Some(outbox) = self.outbox.borrow().clone() else { continue };
+            let late = async {
+                Timer::after(CONNECT_WITHIN).await;
+                Err(std::io::ErrorKind::TimedOut.into())
+            };
+            let end = match or(Async::<TcpStream>::connect(self.address), late).await {
+                Err(_) => ConnectionEnd::Unreachable,
+                Ok(stream) => {
+                    let _ = stream.get_ref().set_nodelay(true);
+                    let read = async {
+                        let (mut source, mut line) = (BufReader::new(&stream), Vec::new());
+                        loop {
+                            if let Err(end) = read_line(&mut source, &mut line, longest).await {
+                                break end;
+                            }
+                            let (head, length) = match on_head(&line) {
+                                Ok(head) => head,
+                                Err(end) => break end,
+                            };
+                            let body = match length {
+                                Some(length) => read_body(&mut source, length).await,
+                                None => Ok(Vec::new()),
+                            };
+                            match body {
+                                Ok(body) => on_reply(head, body),
+                                Err(end) => break end,
+                            }
+                        }
+                    };
+                    let idle = async {
+                        loop {
+                            Timer::after(IDLE / 5).await;
+                            if !busy() && outbox.unwritten() == 0 && self.used.get().elapsed() >= IDLE {
+                                break ConnectionEnd::Idle;
+                            }
+                        }
+                    };
+                    let mut sink = &stream;
+                    or(or(read, idle), outbox.write_to(&mut sink)).await
+                }
+            };
+            *self.outbox.borrow_mut() = None;
+            on_end(self.number.get(), end);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/transport/ending.rs
@@ -0,0 +1,32 @@
+//! How a connection ends: one type for every connection and every way. `routing::outcome` maps it.
+
+use std::io::{Error, ErrorKind};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The peer closed it between two messages.
+    Closed,
+    /// The peer closed it within a message.
+    CutShort,
+    /// It broke, or the peer reset it.
+    Reset,
+    /// It never stood: refused, or not answered in time.
+    Unreachable,
+    /// A message was longer than any legal one.
+    TooLong,
+    /// Where the next message begins is lost.
+    Unreadable,
+    /// More was waiting to be written than its buffer holds.
+    Overrun,
+    /// Closed from this side, with nothing open on it.
+    Idle,
+}
+
+impl ConnectionEnd {
+    pub fn of(error: &Error) -> ConnectionEnd {
+        match error.kind() {
+            ErrorKind::UnexpectedEof => ConnectionEnd::CutShort,
+            _ => ConnectionEnd::Reset,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-server/src/transport/outbox.rs
@@ -0,0 +1,71 @@
+//! What is waiting to be written to a connection: a bounded buffer that one writer empties, so that whoever
+//! puts something in never waits for the peer.
+
+use super::ending::ConnectionEnd;
+use crate::bell::Bell;
+use futures_lite::io::{AsyncWrite, AsyncWriteExt};
+use std::cell::{Cell, RefCell};
+
+pub struct Outbox {
+    waiting: RefCell<Vec<u8>>,
+    most: usize,
+    /// Messages put in and not yet handed to the system.
+    unwritten: Cell<usize>,
+    filled: Bell,
+    emptied: Bell,
+    overrun: Cell<bool>,
+}
+
+impl Outbox {
+    pub fn new(most: usize) -> Outbox {
+        Outbox {
+            waiting: RefCell::default(),
+            most,
+            unwritten: Cell::new(0),
+            filled: Bell::default(),
+            emptied: Bell::default(),
+            overrun: Cell::new(false),
+        }
+    }
+
+    /// Takes a message, unless the buffer is full: then the connection ends, for what it lost can't be made up.
+    pub fn put(&self, message: &[u8]) {
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.len() + message.len() > self.most {
+            self.overrun.set(true);
+        } else {
+            waiting.extend_from_slice(message);
+            self.unwritten.set(self.unwritten.get() + 1);
+        }
+        self.filled.ring();
+    }
+
+    pub fn unwritten(&self) -> usize {
+        self.unwritten.get()
+    }
+
+    /// Waits until all that was put in has been handed to the system.
+    pub async fn emptied(&self) {
+        while self.unwritten() > 0 {
+            self.emptied.heard().await;
+        }
+    }
+
+    /// Writes what is put in, until the connection ends.
+    pub async fn write_to(&self, sink: &mut (impl AsyncWrite + Unpin)) -> ConnectionEnd {
+        loop {
+            self.filled.heard().await;
+            while self.unwritten() > 0 && !self.overrun.get() {
+                let (bytes, count) = (self.waiting.take(), self.unwritten());
+                if let Err(error) = sink.write_all(&bytes).await {
+                    return ConnectionEnd::of(&error);
+                }
+                self.unwritten.set(self.unwritten() - count);
+            }
+            self.emptied.ring();
+            if self.overrun.get() {
+                return ConnectionEnd::Overrun;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-site/src/lib.rs
@@ -0,0 +1,185 @@
+//! The settings object that an instance is started with, decoded once for every host: into a `Control`, and
+//! into what the host itself goes by. Nothing here decides.
+
+use hazelgrade::chance::Chance;
+use hazelgrade::control::Control;
+use hazelgrade::desk::*;
+use hazelgrade::time::Span;
+use serde_json::Value;
+
+/// What is wrong with a message or the settings: the field, and what was expected.
+#[derive(Debug)]
+pub struct Fault(pub String);
+
+pub fn fault<T>(field: &str, expected: &str) -> Result<T, Fault> {
+    Err(Fault(format!("field {field}: expected {expected}")))
+}
+
+/// What a host needs of the settings: names in the order of the places that the module goes by.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub use_cases: Vec<Named>,
+    pub customers: Vec<String>,
+    /// The names of the gauges, in order.
+    pub gauges: Vec<String>,
+    /// The shortest time between rounds.
+    pub tick: Span,
+    /// The list that callers go by follows health.
+    pub list_follows_health: bool,
+    /// How long the answer to a read may be handed to others.
+    pub shared_for: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct Named {
+    pub name: String,
+    pub repeats: Repeats,
+}
+
+/// A part of the settings, with the path to it for messages.
+struct Part<'a> {
+    value: Option<&'a Value>,
+    path: &'a str,
+}
+
+impl<'a> Part<'a> {
+    fn of(settings: &'a Value, path: &'a str) -> Part<'a> {
+        Part { value: settings.get(path), path }
+    }
+
+    fn number(&self, key: &str, absent: f64) -> Result<f64, Fault> {
+        match self.value.and_then(|value| value.get(key)) {
+            None | Some(Value::Null) => Ok(absent),
+            Some(value) => match value.as_f64().filter(|number| number.is_finite() && *number >= 0.0) {
+                Some(number) => Ok(number),
+                None => fault(&format!("settings.{}.{key}", self.path), "a number from 0 up"),
+            },
+        }
+    }
+
+    fn span(&self, key: &str, absent: f64) -> Result<Span, Fault> {
+        self.number(key, absent).map(Span::from_ms)
+    }
+
+    fn word(&self, key: &str, absent: &'a str) -> Result<&'a str, Fault> {
+        match self.value.and_then(|value| value.get(key)) {
+            None | Some(Value::Null) => Ok(absent),
+            Some(Value::String(word)) => Ok(word),
+            _ => fault(&format!("settings.{}.{key}", self.path), "a word"),
+        }
+    }
+
+    fn truth(&self, key: &str) -> Result<bool, Fault> {
+        match self.value.and_then(|value| value.get(key)) {
+            None | Some(Value::Null) => Ok(false),
+            Some(value) => match value.as_bool() {
+                Some(truth) => Ok(truth),
+                None => fault(&format!("settings.{}.{key}", self.path), "true or false"),
+            },
+        }
+    }
+}
+
+fn list<'a>(settings: &'a Value, key: &str) -> Result<&'a [Value], Fault> {
+    match settings.get(key) {
+        None | Some(Value::Null) => Ok(&[]),
+        Some(Value::Array(list)) => Ok(list),
+        _ => fault(&format!("settings.{key}"), "a list"),
+    }
+}
+
+/// Decodes the settings into a new instance of the module.
+pub fn instance(settings: &Value, seed: u64) -> Result<(Control, Site), Fault> {
+    if !settings.is_object() {
+        return fault("settings", "a JSON object");
+    }
+    let specifics = Part::of(&settings, "specifics");
+    let by_class = |key: &str| specifics.value.and_then(|value| value.get(key)).and_then(Value::as_array);
+    let (calls, skips) = (by_class("callsByClass"), by_class("classSkipWorth"));
+    let below = specifics.word("below", "none")?;
+    let calls_below = !matches!(below, "none" | "silent" | "");
+    let (mut use_cases, mut named) = (Vec::new(), Vec::new());
+    for (place, class) in list(&settings, "classes")?.iter().enumerate() {
+        let part = Part { value: Some(class), path: "classes" };
+        let at = |list: Option<&Vec<Value>>| list.and_then(|list| list.get(place)).cloned();
+        let cut_off = part.number("giveUp", 0.0)?;
+        use_cases.push(UseCase {
+            goal: part.span("aim", cut_off)?,
+            goal_per_work: part.number("aimStretch", 0.0)?,
+            cut_off: Span::from_ms(cut_off),
+            earnings: part.number("gain", 1.0)?,
+            late_part: part.number("lateWorth", 0.0)?,
+            repeats: match part.word("idempotency", "safe")? {
+                "safe" => Repeats::Reissuable,
+                "keyed" => Repeats::Numbered,
+                "unsafe" => Repeats::AtMostOnce,
+                _ => return fault("settings.classes.idempotency", "safe, keyed or unsafe"),
+            },
+            window: part.span("window", 0.0)?,
+            calls: calls_below && at(calls).and_then(|value| value.as_bool()).unwrap_or(true),
+            part_without_call: at(skips).and_then(|value| value.as_f64()).unwrap_or(0.0),
+        });
+        named.push(Named { name: part.word("name", "")?.into(), repeats: use_cases[place].repeats });
+    }
+    let (mut customers, mut names) = (Vec::new(), Vec::new());
+    for customer in list(&settings, "customers")? {
+        let part = Part { value: Some(customer), path: "customers" };
+        customers.push(Customer { quota: part.number("quotaPerS", f64::INFINITY)? });
+        names.push(part.word("name", "")?.into());
+    }
+    let guarantees = Part::of(&settings, "guarantees");
+    let machine = Machine {
+        cores: specifics.number("cores", 1.0)?.max(1.0),
+        memory_kb: specifics.number("memoryKb", f64::INFINITY)?,
+        running_factor: specifics.number("blowup", 1.0)?,
+        entry_kb: specifics.number("keyKb", 0.0)?,
+        cold: specifics.truth("cold")?,
+        stopping: match specifics.word("halt", "silent")? {
+            "silent" | "none" => Stopping::Never,
+            "drop" => Stopping::Drops,
+            "pause" => Stopping::Pauses,
+            _ => return fault("settings.specifics.halt", "silent, drop or pause"),
+        },
+        tick: Span::from_ms(Part { value: Some(&settings), path: "" }.number("quantum", 1.0)?.max(0.001)),
+    };
+    let promises = Promises {
+        answer_slack: guarantees.span("answerSlack", 0.0)?,
+        cold_from: guarantees.number("coldFrom", 1.0)?,
+        warm_up: guarantees.span("warmUp", 0.0)?,
+        drain_grace: guarantees.span("drainGrace", 0.0)?,
+        crowd_per_core: guarantees.number("tipMultiple", f64::INFINITY)?.max(1.0),
+    };
+    let told = specifics.number("callsOut", 0.0)?;
+    let below = Below {
+        share: (told > 0.0).then_some(told),
+        share_over: specifics.span("callsOver", 0.0)?,
+        linger: specifics.span("linger", 0.0)?,
+    };
+    let ceilings = Part::of(&settings, "ceilings");
+    let advice = ceilings.truth("retryAfter")?;
+    let callers = Callers {
+        count: specifics.number("callers", 1.0)?,
+        signal: match specifics.word("signal", "silent")? {
+            "silent" | "none" => Signal::Silent,
+            "level" => Signal::Level,
+            "credit" => Signal::Credit,
+            "weight" => Signal::Weight,
+            _ => return fault("settings.specifics.signal", "silent, level, credit or weight"),
+        },
+        heeded_for: specifics.span("saidFor", 1000.0)?,
+        longest_back_in: if advice { ceilings.span("maxRetryAfter", 0.0)? } else { Span::ZERO },
+        mark_again: Part::of(&settings, "clients").truth("marksRetry")?,
+        fleet: Part { value: Some(&settings), path: "" }.number("fleetSize", 1.0)?,
+        over_quota_part: Part { value: Some(&settings), path: "" }.number("overShareWorth", 1.0)?,
+    };
+    let gauges = list(specifics.value.unwrap_or(&Value::Null), "ownStats")?;
+    let site = Site {
+        use_cases: named,
+        customers: names,
+        gauges: gauges.iter().filter_map(Value::as_str).map(String::from).collect(),
+        tick: machine.tick,
+        list_follows_health: specifics.truth("readiness")?,
+        shared_for: specifics.span("shareFor", 0.0)?,
+    };
+    Ok((Control::new(use_cases, customers, machine, promises, below, callers, Chance::new(seed)), site))
+}
--- a/crates/hazelgrade-wirehost/src/main.rs
+++ b/crates/hazelgrade-wirehost/src/main.rs
@@ -4,10 +4,11 @@
 mod wire;
 
 use hazelgrade::control::Control;
+use hazelgrade_site::Fault;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
-use wire::{Counts, Fault, Fields, Reply};
+use wire::{Counts, Fields, Reply};
 
 /// Instances by number; one that crashed and was not launched again stays as `None`.
 type Fleet = BTreeMap<u64, Option<(Control, Counts)>>;
