--- a/crates/hazelgrade-server/src/program/configuration.rs
+++ b/crates/hazelgrade-server/src/program/configuration.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Descriptors kept back for all that is not a client: log, links, registry, signals, the event queue.
-const DESCRIPTORS_KEPT: usize = 48;
+const DESCRIPTORS_KEPT: usize = 24;
 
 #[derive(Debug)]
 pub struct Deployment {
@@ -54,10 +54,10 @@
     let stop = value.get("stop_ms").and_then(Value::as_f64).filter(|ms| (0.0..1e9).contains(ms));
     let sockets = match value.get("limits").and_then(|limits| limits.get("sockets")) {
         None | Some(Value::Null) => 1024,
-        Some(sockets) => sockets.as_u64().filter(|sockets| *sockets >= 64).unwrap_or_default() as usize,
+        Some(sockets) => sockets.as_u64().filter(|sockets| *sockets >= 32).unwrap_or_default() as usize,
     };
     if sockets == 0 {
-        return Err(wrong("limits.sockets", "a whole number from 64 up"));
+        return Err(wrong("limits.sockets", "a whole number from 32 up"));
     }
     let (listen, executor, registry) = (address("listen")?, address("executor")?, address("registry")?);
     Ok(Deployment {
--- a/crates/hazelgrade-server/src/program/drain.rs
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -10,9 +10,8 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-/// The listener closes this long before the stop, at the latest, and the process has ended this long before.
+/// The listener closes this long before the stop, at the latest.
 const CLOSED_BEFORE: Duration = Duration::from_millis(150);
-const ENDED_BEFORE: Duration = Duration::from_millis(40);
 /// With no client connected for this long, nobody comes any more.
 const ALONE_FOR: Duration = Duration::from_millis(1500);
 const LOOK_EVERY: Duration = Duration::from_millis(5);
@@ -52,7 +51,8 @@
     take_backlog(&listener, &on);
     drop(listener);
     Timer::after(LOOK_EVERY * 4).await;
-    while !settled() && began.elapsed() + ENDED_BEFORE < stop {
+    // The module's last answers come shortly before the stop.
+    while !settled() && began.elapsed() < stop {
         Timer::after(LOOK_EVERY).await;
     }
     let (tally, owed) = (*parts.tally.borrow(), parts.hand.owed());
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -26,6 +26,8 @@
 use std::time::{Duration, Instant};
 
 const BEAT_EVERY: Duration = Duration::from_millis(500);
+/// The database closes connections that lie idle for 10 s.
+const DATABASE_IDLE: Duration = Duration::from_secs(5);
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 
 /// Serves until the notice to leave, then leaves; `Ok(true)` if every answer was written.
@@ -43,7 +45,10 @@
     let (hand, repeats) = (Rc::new(Hand::default()), Rc::new(Repeats::default()));
     let link = Rc::new(Link::new(deployment.executor));
     let rounds = Rc::new(Rounds::new(control, site.tick, hand.clone(), repeats.clone(), link.clone()));
-    let calls = Rc::new(Calls::new(deployment.database.map(Database::new), hand.clone()));
+    let calls = Rc::new(Calls::new(
+        deployment.database.map(|address| Database::new(address, DATABASE_IDLE)),
+        hand.clone(),
+    ));
     let notices = Notices::new(rounds.clone(), hand.clone(), link.clone(), &site.gauges);
     let parts = Rc::new(Parts {
         rounds: rounds.clone(),
--- a/crates/hazelgrade-server/src/protocol/jsonrpc.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc.rs
@@ -6,8 +6,8 @@
 use hazelgrade_site::Site;
 use serde_json::{Map, Value, json};
 
-/// The longest line of a client: a body of 2 KiB in base64, with room for escapes and unknown fields.
-pub const LONGEST_LINE: usize = 16 * 1024;
+/// The longest line of a client: a body of 2 KiB in base64, every character of it escaped, and room for the rest.
+pub const LONGEST_LINE: usize = 24 * 1024;
 const LONGEST_BODY: usize = 2048;
 const LONGEST_NAME: usize = 256;
 
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -1,8 +1,8 @@
 //! What clients send: starts jobs, hears of callers that leave, answers checks and bad input.
 
-use super::hand::Asker;
+use super::hand::{AskedAgain, Asker};
 use super::job::{self, Parts};
-use crate::protocol::jsonrpc::{self, Asked, Incoming};
+use crate::protocol::jsonrpc::{self, Answer, Asked, Incoming};
 use crate::transport::clients::{Client, Clients};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -64,16 +64,18 @@
             return client.put(&jsonrpc::encode_wrong(&jsonrpc::still_open(call)));
         }
         self.last_job.set(Instant::now());
-        if parts.hand.has(&id) {
-            // Sent again, as after a close that crossed it: one job, answered where it was asked last.
-            match parts.hand.readdress(&id, asker) {
-                Some(before) => {
-                    client.open(call, id);
-                    before.client.close(before.call);
-                }
-                None => client.put(&jsonrpc::encode(call, &jsonrpc::Answer::WrittenOff, parts.rounds.said())),
+        // Sent again, as after a close that crossed it: one job, answered once, where it was asked last.
+        match parts.hand.ask_again(&id, asker.clone()) {
+            AskedAgain::New => {}
+            AskedAgain::Moved(before) => {
+                before.client.close(before.call);
+                client.open(call, id);
+                return;
+            }
+            AskedAgain::Answered => return,
+            AskedAgain::Gone => {
+                return client.put(&jsonrpc::encode(call, &Answer::WrittenOff, parts.rounds.said()));
             }
-            return;
         }
         client.open(call, id.clone());
         let key = asked.mark.take().map(|mark| (asked.job.use_case, mark));
--- a/crates/hazelgrade-server/src/routing/hand.rs
+++ b/crates/hazelgrade-server/src/routing/hand.rs
@@ -56,6 +56,7 @@
 struct Slot {
     turns: Sender<Turn>,
     asker: Option<Asker>,
+    answered: bool,
 }
 
 #[derive(Default)]
@@ -67,7 +68,7 @@
 impl Hand {
     pub fn take(&self, id: JobId, asker: Asker) -> Receiver<Turn> {
         let (sender, turns) = bounded(TURNS);
-        self.jobs.borrow_mut().insert(id, Slot { turns: sender, asker: Some(asker) });
+        self.jobs.borrow_mut().insert(id, Slot { turns: sender, asker: Some(asker), answered: false });
         turns
     }
 
@@ -75,10 +76,6 @@
         self.jobs.borrow_mut().remove(id);
     }
 
-    pub fn has(&self, id: &JobId) -> bool {
-        self.jobs.borrow().contains_key(id)
-    }
-
     pub fn count(&self) -> usize {
         self.jobs.borrow().len()
     }
@@ -93,13 +90,28 @@
     }
 
     /// Takes the right to answer: whoever gets it answers, and nobody after.
-    pub fn asker(&self, id: &JobId) -> Option<Asker> {
+    pub fn to_answer(&self, id: &JobId) -> Option<Asker> {
+        let mut jobs = self.jobs.borrow_mut();
+        let slot = jobs.get_mut(id)?;
+        slot.answered |= slot.asker.is_some();
+        slot.asker.take()
+    }
+
+    /// The asker is gone, and nobody else waits for the answer.
+    pub fn gone(&self, id: &JobId) -> Option<Asker> {
         self.jobs.borrow_mut().get_mut(id).and_then(|slot| slot.asker.take())
     }
 
-    /// The answer goes to this asker from now on; gives the one before, if the job is still owed an answer.
-    pub fn readdress(&self, id: &JobId, asker: Asker) -> Option<Asker> {
-        self.jobs.borrow_mut().get_mut(id).and_then(|slot| slot.asker.as_mut()?.into_replaced(asker))
+    /// A job in hand is asked for again: the answer goes to this asker from now on.
+    pub fn ask_again(&self, id: &JobId, asker: Asker) -> AskedAgain {
+        match self.jobs.borrow_mut().get_mut(id) {
+            None => AskedAgain::New,
+            Some(slot) if slot.answered => AskedAgain::Answered,
+            Some(slot) => match &mut slot.asker {
+                Some(before) => AskedAgain::Moved(std::mem::replace(before, asker)),
+                None => AskedAgain::Gone,
+            },
+        }
     }
 
     pub fn send(&self, id: &JobId, turn: Turn) {
@@ -116,8 +128,13 @@
     }
 }
 
-impl Asker {
-    fn into_replaced(&mut self, by: Asker) -> Option<Asker> {
-        Some(std::mem::replace(self, by))
-    }
+/// What is found when a job comes with an id that may be in hand.
+pub enum AskedAgain {
+    New,
+    /// Its answer was owed to this one until now.
+    Moved(Asker),
+    /// It had its one answer.
+    Answered,
+    /// Its caller was gone before it had an answer, and its run goes on.
+    Gone,
 }
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -21,6 +21,9 @@
 /// A call is taken as silent this long after the time that the database was given for it.
 const SILENT_AFTER: Duration = Duration::from_millis(200);
 
+/// What lies in the sockets when the time is over is read within this.
+const UNREAD: Duration = Duration::from_millis(5);
+
 /// Answers by kind, since the start.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
@@ -48,7 +51,7 @@
     /// Gives the final answer, unless it was given or nobody waits for it any more.
     fn answer(&self, id: &JobId, answer: &Answer) {
         let mut tally = self.tally.borrow_mut();
-        let Some(asker) = self.hand.asker(id) else {
+        let Some(asker) = self.hand.to_answer(id) else {
             tally.unwanted += 1;
             return;
         };
@@ -64,7 +67,7 @@
     /// The caller no longer waits. The module hears it before its next round, so that it can't decide to run
     /// a job whose task has ended.
     pub fn caller_gone(&self, id: &JobId) {
-        if let Some(asker) = self.hand.asker(id) {
+        if let Some(asker) = self.hand.gone(id) {
             self.tally.borrow_mut().callers_gone += 1;
             asker.client.close(asker.call);
             self.rounds.tell(Event::CallerGone(id.clone()));
@@ -234,6 +237,8 @@
     let Some(at) = silent else { return turns.recv().await.ok() };
     let late = async {
         Timer::at(at).await;
+        // After a pause of the process, what came meanwhile is read first.
+        Timer::after(UNREAD).await;
         Some(Turn::Called(CallEnd::Silent))
     };
     or(async { turns.recv().await.ok() }, late).await
--- a/crates/hazelgrade-server/src/routing/notices.rs
+++ b/crates/hazelgrade-server/src/routing/notices.rs
@@ -112,9 +112,10 @@
         tracing::info!(fate, up_for_ms = up_for.as_ms(), "the executor is there");
         self.rounds.begin();
         if let Some((heard, was_up)) = before {
-            // The same executor has been up for at least as long as it said, and the time since.
+            // One that was started since says so, and hasn't been up for as long as the one before it and the
+            // time since together.
             let since = self.joined.get().saturating_duration_since(heard).saturating_sub(APART);
-            if up_for < was_up + Span::from_ms(since.as_secs_f64() * 1000.0) {
+            if fate == "new" && up_for < was_up + Span::from_ms(since.as_secs_f64() * 1000.0) {
                 tracing::warn!("the executor started anew: what ran there is over");
                 self.hand.send_all(|| Turn::RunsOver);
             } else {
--- a/crates/hazelgrade-server/src/transport/clients.rs
+++ b/crates/hazelgrade-server/src/transport/clients.rs
@@ -4,21 +4,23 @@
 use super::lines::read_line;
 use super::outbox::Outbox;
 use crate::bell::Bell;
-use async_io::Async;
-use futures_lite::future::or;
-use futures_lite::io::BufReader;
+use async_io::{Async, Timer};
+use futures_lite::future::{or, yield_now};
+use futures_lite::io::{AsyncBufReadExt, BufReader};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Calls that a client may have open on one connection.
 pub const MOST_OPEN: usize = 32;
 /// Room for the answers to all of these, at 4 KiB in base64 each, and some checks.
 const OUTBOX_BYTES: usize = 256 * 1024;
-/// Above this, a connection is not read until its peer takes what it was sent.
-const SLACK_BYTES: usize = 64;
+/// With more than this waiting beside its answers, a connection is not read until its peer takes what it was sent.
+const SLACK_MESSAGES: usize = 64;
+/// How long a connection that is ended from here is still read, so that its peer gets what it was sent.
+const LINGER: Duration = Duration::from_millis(500);
 
 /// A connection of a client. Its calls are told apart by their number.
 pub struct Client<T> {
@@ -27,6 +29,8 @@
     open: RefCell<BTreeMap<u64, T>>,
     closed_one: Bell,
     used: Cell<Instant>,
+    /// Rung to close it, unless it is in use by then.
+    not_needed: Bell,
 }
 
 impl<T: Clone> Client<T> {
@@ -69,28 +73,44 @@
         on_line: impl AsyncFn(&[u8]),
     ) -> ConnectionEnd {
         let (mut source, mut line) = (BufReader::with_capacity(4096, stream), Vec::new());
-        loop {
-            if self.outbox.unwritten() > MOST_OPEN + SLACK_BYTES {
+        let end = loop {
+            if self.outbox.unwritten() > MOST_OPEN + SLACK_MESSAGES {
                 self.outbox.emptied().await;
             }
             match read_line(&mut source, &mut line, longest).await {
                 Ok(()) => on_line(&line).await,
-                Err(ConnectionEnd::Closed) => break,
-                Err(end) => return end,
+                Err(ConnectionEnd::Reset) => return ConnectionEnd::Reset,
+                Err(other) => break other,
             }
-        }
-        // It sends nothing more, but may still read what it is owed.
+            // One that always has more to read lets the others have their turn.
+            yield_now().await;
+        };
+        // Nothing more is taken from it, but it may still read what it is owed.
         while !self.open.borrow().is_empty() {
             self.closed_one.heard().await;
         }
         self.outbox.emptied().await;
-        ConnectionEnd::Closed
+        if end == ConnectionEnd::TooLong {
+            // Closing with bytes unread would reset the connection, and answers on their way with it.
+            let _ = stream.get_ref().shutdown(Shutdown::Write);
+            let rest = async {
+                while matches!(source.fill_buf().await, Ok(bytes) if !bytes.is_empty()) {
+                    let read = source.buffer().len();
+                    source.consume(read);
+                }
+            };
+            or(rest, async {
+                Timer::after(LINGER).await;
+            })
+            .await;
+        }
+        end
     }
 }
 
 /// All connections of clients.
 pub struct Clients<T> {
-    table: RefCell<BTreeMap<u64, (Rc<Client<T>>, Rc<Bell>)>>,
+    table: RefCell<BTreeMap<u64, Rc<Client<T>>>>,
     numbers: Cell<u64>,
     pub most: usize,
     pub accepted: Cell<Instant>,
@@ -116,19 +136,19 @@
     /// Tells all clients, and each that connects from now on.
     pub fn tell_all(&self, message: &str) {
         *self.greeting.borrow_mut() = Some(message.into());
-        self.table.borrow().values().for_each(|(client, _)| client.put(message));
+        self.table.borrow().values().for_each(|client| client.put(message));
     }
 
     pub fn all_quiet(&self) -> bool {
-        self.table.borrow().values().all(|(client, _)| client.is_quiet())
+        self.table.borrow().values().all(|client| client.is_quiet())
     }
 
     /// Closes the connection that was idle longest and has nothing open; `false` if there is none.
     pub fn close_idlest(&self) -> bool {
         let table = self.table.borrow();
-        let idle = table.values().filter(|(client, _)| client.is_quiet());
-        let idlest = idle.min_by_key(|(client, _)| client.used.get());
-        idlest.inspect(|(_, close)| close.ring()).is_some()
+        let idle = table.values().filter(|client| client.is_quiet());
+        let idlest = idle.min_by_key(|client| client.used.get());
+        idlest.inspect(|client| client.not_needed.ring()).is_some()
     }
 
     /// Serves one connection until it ends, and gives what was open on it then.
@@ -148,16 +168,16 @@
             open: RefCell::default(),
             closed_one: Bell::default(),
             used: Cell::new(Instant::now()),
+            not_needed: Bell::default(),
         });
         if let Some(greeting) = &*self.greeting.borrow() {
             client.put(greeting);
         }
-        let close = Rc::new(Bell::default());
-        self.table.borrow_mut().insert(number, (client.clone(), close.clone()));
+        self.table.borrow_mut().insert(number, client.clone());
         let mut sink = &stream;
         let closed = async {
             loop {
-                close.heard().await;
+                client.not_needed.heard().await;
                 if client.is_quiet() {
                     break ConnectionEnd::Idle;
                 }
--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -13,12 +13,12 @@
 use std::time::{Duration, Instant};
 
 const OUTBOX_BYTES: usize = 4 * 1024 * 1024;
-/// The peer closes after 10 s; a call that crossed that would be lost.
-const IDLE: Duration = Duration::from_secs(5);
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 
 pub struct Database {
     address: SocketAddr,
+    /// After so long with no call it is closed, well before the peer would: a call that crossed that is lost.
+    idle: Duration,
     /// What waits for the connection that stands or is being opened, and its number.
     outbox: RefCell<Option<Rc<Outbox>>>,
     number: Cell<u64>,
@@ -27,9 +27,10 @@
 }
 
 impl Database {
-    pub fn new(address: SocketAddr) -> Database {
+    pub fn new(address: SocketAddr, idle: Duration) -> Database {
         Database {
             address,
+            idle,
             outbox: RefCell::default(),
             number: Cell::new(0),
             wanted: Bell::default(),
@@ -100,8 +101,8 @@
                     };
                     let idle = async {
                         loop {
-                            Timer::after(IDLE / 5).await;
-                            if !busy() && outbox.unwritten() == 0 && self.used.get().elapsed() >= IDLE {
+                            Timer::after(self.idle / 5).await;
+                            if !busy() && outbox.unwritten() == 0 && self.used.get().elapsed() >= self.idle {
                                 break ConnectionEnd::Idle;
                             }
                         }
--- a/crates/hazelgrade-server/src/transport/listener.rs
+++ b/crates/hazelgrade-server/src/transport/listener.rs
@@ -2,6 +2,7 @@
 
 use super::clients::Clients;
 use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -29,7 +30,11 @@
             Timer::after(PAUSE).await;
         }
         match listener.accept().await {
-            Ok((stream, _)) => on_stream(stream),
+            Ok((stream, _)) => {
+                on_stream(stream);
+                // Connections that come without end leave the others their turn.
+                yield_now().await;
+            }
             Err(error) => {
                 tracing::debug!(%error, "a connection could not be accepted");
                 clients.close_idlest();
--- /dev/null
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -0,0 +1,239 @@
+//! The service instance as a process, with stand-ins on loopback for all that it talks to.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const SOON: Duration = Duration::from_secs(5);
+
+pub fn settings() -> Value {
+    json!({
+        "classes": [
+            {"name": "read", "aim": 3000, "giveUp": 6000, "idempotency": "safe", "gain": 1, "window": 5000},
+            {"name": "book", "aim": 3000, "giveUp": 6000, "idempotency": "keyed", "gain": 2, "window": 5000}
+        ],
+        "customers": [{"name": "acme", "quotaPerS": 1000}],
+        "ceilings": {"retryAfter": true, "maxRetryAfter": 1000},
+        "guarantees": {"answerSlack": 60, "coldFrom": 0.5, "warmUp": 1000, "drainGrace": 200, "tipMultiple": 8},
+        "quantum": 2, "fleetSize": 1, "clients": {"marksRetry": true},
+        "specifics": {"cores": 2, "memoryKb": 30000, "blowup": 4, "keyKb": 1, "below": "tier", "halt": "drop",
+            "classSkipWorth": [0.5, 0], "readiness": true, "callers": 1, "signal": "weight", "saidFor": 1000,
+            "linger": 100, "ownStats": ["links", "core_use"]}
+    })
+}
+
+/// A process and its configuration. The stand-ins listen before it starts.
+pub struct Instance {
+    child: Child,
+    file: PathBuf,
+    pub listen: SocketAddr,
+    pub executor: TcpListener,
+    pub registry: UdpSocket,
+    pub database: TcpListener,
+    configuration: Value,
+}
+
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
+}
+
+/// Writes a configuration and gives the path to it.
+pub fn write(text: &str) -> PathBuf {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let name = format!("hazelgrade-{}-{}.json", std::process::id(), FILES.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+pub fn command(words: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hazelgrade"));
+    command.args(words).env_remove("PROXY_CONFIG").stdin(Stdio::null());
+    command
+}
+
+pub fn run(words: &[&str]) -> Output {
+    command(words).output().expect("it starts")
+}
+
+impl Instance {
+    pub fn start() -> Instance {
+        Instance::start_with(|_| {})
+    }
+
+    pub fn start_with(change: impl FnOnce(&mut Value)) -> Instance {
+        let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (executor, database) = (bind(), bind());
+        let registry = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        registry.set_read_timeout(Some(SOON)).expect("a time-out");
+        let listen = free_address();
+        let mut configuration = json!({
+            "name": "n1", "listen": listen.to_string(), "seed": "00000000000000ff", "stop_ms": 1500,
+            "executor": executor.local_addr().expect("bound").to_string(),
+            "registry": registry.local_addr().expect("bound").to_string(),
+            "db": database.local_addr().expect("bound").to_string(),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings()
+        });
+        change(&mut configuration);
+        let file = write(&configuration.to_string());
+        let child = Instance::spawn(&file);
+        Instance { child, file, listen, executor, registry, database, configuration }
+    }
+
+    fn spawn(file: &PathBuf) -> Child {
+        command(&["serve", "--log", "warn"]).env("PROXY_CONFIG", file).spawn().expect("it starts")
+    }
+
+    pub fn configuration(&self) -> String {
+        self.configuration.to_string()
+    }
+
+    /// Killed outright, and started again under its name and address.
+    pub fn start_again(&mut self) {
+        self.kill();
+        self.child = Instance::spawn(&self.file);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill runs").success());
+    }
+
+    /// The exit code, once it has ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let by = Instant::now() + SOON;
+        while Instant::now() < by {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        None
+    }
+
+    pub fn client(&self) -> Peer {
+        let by = Instant::now() + SOON;
+        loop {
+            match TcpStream::connect(self.listen) {
+                Ok(stream) => return Peer::of(stream),
+                Err(error) if Instant::now() >= by => panic!("{error}"),
+                Err(_) => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    /// Accepts the link: gives it, and the number of the last notice that was read.
+    pub fn link(&self) -> (Peer, u64) {
+        let mut link = Peer::accept(&self.executor);
+        let join = link.hear();
+        assert_eq!(join["event"], "JOIN");
+        (link, join["cursor"].as_u64().expect("a number"))
+    }
+
+    /// Started, its executor up: the link and a client.
+    pub fn ready(&self) -> (Peer, Peer) {
+        let (mut link, cursor) = self.link();
+        assert_eq!(cursor, 0);
+        link.say(&json!({"event": "WELCOME", "fate": "old", "lasted": 5}));
+        (link, self.client())
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// One end of a connection, line by line.
+pub struct Peer {
+    reader: BufReader<TcpStream>,
+}
+
+impl Peer {
+    pub fn of(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(SOON)).expect("a time-out");
+        Peer { reader: BufReader::new(stream) }
+    }
+
+    pub fn accept(listener: &TcpListener) -> Peer {
+        Peer::of(listener.accept().expect("a connection").0)
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
+
+    pub fn write(&mut self, text: &str) {
+        self.stream().write_all(text.as_bytes()).expect("it takes bytes");
+    }
+
+    pub fn say(&mut self, message: &Value) {
+        self.write(&format!("{message}\n"));
+    }
+
+    pub fn hear_line(&mut self) -> String {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).expect("a line in time");
+        line
+    }
+
+    pub fn hear(&mut self) -> Value {
+        let line = self.hear_line();
+        serde_json::from_str(&line).unwrap_or_else(|_| panic!("not JSON: {line:?}"))
+    }
+
+    /// The next command that isn't about gauges; these are answered.
+    pub fn command(&mut self) -> Value {
+        loop {
+            let heard = self.hear();
+            if heard["event"] != "METER" {
+                return heard;
+            }
+            self.say(&json!({"event": "METERS", "ticket": heard["ticket"], "figures": [3, 0.5]}));
+        }
+    }
+
+    pub fn bytes(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.reader.read_exact(&mut bytes).expect("bytes in time");
+        bytes
+    }
+
+    /// Nothing comes for a while.
+    pub fn is_silent(&mut self) -> bool {
+        self.stream().set_read_timeout(Some(Duration::from_millis(150))).expect("a time-out");
+        let silent = self.reader.fill_buf().is_err();
+        self.stream().set_read_timeout(Some(SOON)).expect("a time-out");
+        silent
+    }
+
+    pub fn is_closed(&mut self) -> bool {
+        matches!(self.reader.fill_buf(), Ok([]))
+    }
+
+    /// Asks for a check: alive, and not kept waiting by others.
+    pub fn check(&mut self, call: u64) -> Value {
+        self.say(&json!({"jsonrpc": "2.0", "id": call, "method": "ping"}));
+        self.hear()
+    }
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+pub fn job(call: u64, use_case: &str, id: &str) -> Value {
+    json!({"jsonrpc": "2.0", "id": call, "method": use_case, "params": {"req": id, "ts": unix_ms(), "via": 1,
+        "owner": "acme", "need": 12.5, "level": 0.5, "body": "aGVsbG8="}})
+}
--- /dev/null
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -0,0 +1,228 @@
+//! Bad input, clients that misbehave, limits, and the command line.
+
+use crate::common::*;
+use hazelgrade::time::{Span, Time};
+use hazelgrade_server::protocol;
+use hazelgrade_server::routing::clock::Clock;
+use hazelgrade_server::transport::database::Database;
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+#[test]
+fn bad_input_gets_the_standards_error_and_the_connection_goes_on() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    let with = |field: &str, value: Value| {
+        let mut job = job(7, "read", "a1");
+        match value {
+            Value::Null => job["params"].as_object_mut().expect("an object").remove(field).is_some(),
+            value => job["params"].as_object_mut().expect("an object").insert(field.into(), value).is_none(),
+        };
+        job.to_string()
+    };
+    let cases = [
+        ("{\"jsonrpc\":\"2.0\",\"id\":7".into(), -32700, "JSON"),
+        ("[1]".into(), -32600, "object"),
+        ("{\"id\":7,\"method\":\"read\"}".into(), -32600, "jsonrpc"),
+        ("{\"jsonrpc\":\"2.0\",\"id\":7}".into(), -32600, "method"),
+        ("{\"jsonrpc\":\"2.0\",\"method\":\"read\"}".into(), -32600, "id"),
+        (job(7, "write", "a1").to_string(), -32601, "method"),
+        ("{\"jsonrpc\":\"2.0\",\"id\":7,\"method\":\"read\",\"params\":[]}".into(), -32602, "params"),
+        (with("req", Value::Null), -32602, "req"),
+        (with("req", json!("a b")), -32602, "req"),
+        (with("ts", json!("now")), -32602, "ts"),
+        (with("via", json!(-1)), -32602, "via"),
+        (with("owner", json!("nobody")), -32602, "owner"),
+        (with("owner", Value::Null), -32602, "owner"),
+        (with("resent", json!("yes")), -32602, "resent"),
+        (with("need", json!(0)), -32602, "need"),
+        (with("need", json!(2000)), -32602, "need"),
+        (with("level", json!(1.0)), -32602, "level"),
+        (with("subject", json!(5)), -32602, "subject"),
+        (with("body", json!("a*==")), -32602, "body"),
+        (with("body", json!("A".repeat(2736))), -32602, "body"),
+        (with("body", Value::Null), -32602, "body"),
+    ];
+    for (line, code, names) in cases {
+        client.write(&format!("{line}\n"));
+        let error = client.hear()["error"].clone();
+        assert_eq!(error["code"], code, "{line}: {error}");
+        assert!(error["message"].as_str().is_some_and(|message| message.contains(names)), "{line}: {error}");
+    }
+    client.say(&job(8, "read", "a2"));
+    assert_eq!(link.command()["handle"], "a2");
+    client.say(&job(8, "read", "a3"));
+    assert_eq!(client.hear()["error"]["code"], -32600);
+}
+
+#[test]
+fn odd_order_spacing_escapes_and_unknown_fields_are_fine_and_so_is_one_byte_at_a_time() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    let escaped: String = "A".repeat(2728).chars().map(|c| format!("\\u{:04x}", c as u32)).collect();
+    client.write(&format!(
+        "{{ \"params\" : {{\"new\":[{{}}],\"body\":\"{escaped}\",\"level\":0,\"need\":1e1,\"via\":4,\
+         \"ts\":{},\"owner\":\"\\u0061cme\",\"req\":\"a1\"}},\t\"method\":\"re\\u0061d\",\"id\":1 ,\"jsonrpc\":\"2.0\"}}\n",
+        unix_ms()
+    ));
+    let run = link.command();
+    assert_eq!((&run["handle"], run["arg"].as_str().map(str::len)), (&json!("a1"), Some(2728)));
+    let mut other = instance.client();
+    for byte in job(1, "read", "a2").to_string().chars() {
+        client.write(&byte.to_string());
+        assert_eq!(other.check(3)["result"]["up"], true);
+    }
+    client.write("\n");
+    assert_eq!(client.hear()["error"]["code"], -32600);
+}
+
+#[test]
+fn a_line_without_end_ends_its_connection_once_what_is_owed_on_it_is_answered() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    client.say(&job(1, "read", "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    client.write(&" ".repeat(30_000));
+    assert!(client.is_silent());
+    assert_eq!(instance.client().check(1)["result"]["up"], true);
+    link.say(
+        &json!({"event": "EXIT", "cursor": 1, "handle": "a1", "fate": "good", "lasted": 9, "arg": "b25l"}),
+    );
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    assert!(client.is_closed());
+}
+
+#[test]
+fn a_33rd_open_job_waits_and_a_client_that_never_reads_delays_nobody() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    // Few run at once; the others are held.
+    for call in 1..=33 {
+        client.say(&job(call, "read", &format!("a{call}")));
+    }
+    client.say(&json!({"jsonrpc": "2.0", "id": 90, "method": "ping"}));
+    assert!(client.is_silent());
+    let first = link.command()["handle"].clone();
+    link.say(&json!({"event": "EXIT", "cursor": 1, "handle": first, "fate": "bad", "lasted": 9}));
+    let answers = [client.hear(), client.hear()];
+    assert!(answers.iter().any(|answer| answer["id"] == 90), "{answers:?}");
+    let mut deaf = instance.client();
+    let ping = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"ping\"}\n".repeat(1000);
+    deaf.stream().set_write_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+    while std::io::Write::write_all(&mut deaf.stream(), ping.as_bytes()).is_ok() {}
+    let began = Instant::now();
+    assert_eq!(instance.client().check(1)["result"]["up"], true);
+    assert!(began.elapsed() < Duration::from_millis(500));
+    deaf.hear();
+}
+
+#[test]
+fn when_descriptors_run_out_the_idlest_connection_goes_and_those_in_use_stay() {
+    let instance = Instance::start_with(|told| told["limits"]["sockets"] = json!(32));
+    let (mut link, mut busy) = instance.ready();
+    busy.say(&job(1, "read", "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    let mut crowd: Vec<Peer> = (0..30).map(|_| instance.client()).collect();
+    for _ in 0..3 {
+        let mut late = instance.client();
+        assert_eq!(late.check(1)["result"]["up"], true);
+        crowd.push(late);
+    }
+    assert!(crowd[0].is_closed());
+    link.say(
+        &json!({"event": "EXIT", "cursor": 1, "handle": "a1", "fate": "good", "lasted": 9, "arg": "b25l"}),
+    );
+    assert_eq!(busy.hear()["result"]["body"], "b25l");
+}
+
+#[test]
+fn an_idle_database_connection_is_closed_from_this_side_and_opened_again_when_needed() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let database = Database::new(listener.local_addr().expect("bound"), Duration::from_millis(50));
+    let (busy, ends) = (Cell::new(true), Cell::new(Vec::new()));
+    let ended = |number, end| ends.set([ends.take(), vec![(number, end)]].concat());
+    let keep = database.keep(99, |_: &[u8]| Ok(((), None)), |(), _| busy.set(false), || busy.get(), ended);
+    let play = async {
+        assert_eq!(database.send(b"Q\r\n"), 1);
+        async_io::Timer::after(Duration::from_millis(200)).await;
+        let mut peer = Peer::accept(&listener);
+        assert_eq!(peer.hear_line(), "Q\r\n");
+        peer.write("Q ROWS\r\n");
+        async_io::Timer::after(Duration::from_millis(200)).await;
+        assert!(peer.is_closed() && !busy.get());
+        assert_eq!(database.send(b"Q\r\n"), 2);
+    };
+    async_io::block_on(futures_lite::future::or(play, keep));
+    let ended = format!("{:?}", ends.take());
+    assert_eq!(ended, "[(1, Idle)]");
+}
+
+#[test]
+fn a_clock_that_is_set_back_does_not_run_backwards_and_moves_what_is_stamped_along() {
+    thread_local!(static UNIX: Cell<f64> = const { Cell::new(1000.0) });
+    let clock = Clock::of(|| Time::from_ms(UNIX.get()));
+    UNIX.set(1500.0);
+    assert_eq!(clock.now(), Time::from_ms(1500.0));
+    UNIX.set(200.0);
+    assert_eq!(clock.now(), Time::from_ms(1500.0));
+    UNIX.set(300.0);
+    assert_eq!(clock.now(), Time::from_ms(1600.0));
+    assert_eq!(clock.now().since(clock.past(Time::from_ms(280.0))), Span::from_ms(20.0));
+    assert_eq!(clock.past(Time::from_ms(9000.0)), clock.now());
+}
+
+#[test]
+fn lines_of_any_kind_are_decoded_or_refused_without_a_panic() {
+    fn property(place: usize, byte: u8, cut: usize) -> bool {
+        let (_, site) = hazelgrade_site::instance(&settings(), 1).expect("settings");
+        let mut line = job(1, "read", "a1").to_string().into_bytes();
+        let place = place % line.len();
+        line[place] = byte;
+        line.truncate(line.len() - cut % 3);
+        let kept = protocol::jsonrpc::decode(&line, &site).is_ok();
+        let _ = (protocol::executor::decode(&line), protocol::database::decode(&line));
+        !kept || cut.is_multiple_of(3)
+    }
+    quickcheck::QuickCheck::new().tests(2000).quickcheck(property as fn(usize, u8, usize) -> bool);
+}
+
+#[test]
+fn a_wrong_configuration_ends_it_with_2_and_one_line_that_names_the_field() {
+    let instance = Instance::start();
+    instance.client();
+    let whole = instance.configuration();
+    let with = |field: &str, value: Value| {
+        let mut told: Value = serde_json::from_str(&whole).expect("JSON");
+        told[field] = value;
+        told.to_string()
+    };
+    let cases = [
+        ("{".into(), "line 1"),
+        (with("listen", json!("here")), "listen"),
+        (with("executor", Value::Null), "executor"),
+        (with("seed", json!("xyz")), "seed"),
+        (with("limits", json!({"sockets": 3})), "limits.sockets"),
+        (with("settings", json!([])), "settings"),
+        (with("settings", json!({"specifics": {"halt": "sometimes"}})), "halt"),
+        (whole.clone(), "listen"),
+    ];
+    for (text, names) in cases {
+        let path = write(&text);
+        let output = run(&["serve", "--config", path.to_str().expect("text")]);
+        let message = String::from_utf8_lossy(&output.stderr).into_owned();
+        let said: Vec<&str> = message.lines().filter(|line| line.starts_with("hazelgrade: ")).collect();
+        assert_eq!((output.status.code(), said.len()), (Some(2), 1), "{text}: {message}");
+        assert!(said[0].contains(names), "{names}: {message}");
+        let _ = std::fs::remove_file(path);
+    }
+    let path = write(&whole);
+    let checked = run(&["check", "--config", path.to_str().expect("text")]);
+    assert!(checked.status.success() && String::from_utf8_lossy(&checked.stdout).contains("use case book"));
+    assert_eq!(run(&["serve", "--config", "/nowhere/at.json"]).status.code(), Some(2));
+    for words in [&["serve", "--loud"][..], &["server"], &[]] {
+        let output = run(words);
+        assert!(output.status.code() == Some(2) && String::from_utf8_lossy(&output.stderr).contains("usage"));
+    }
+    assert!(run(&["help"]).status.success() && run(&["version"]).stdout.starts_with(b"hazelgrade "));
+}
--- /dev/null
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -0,0 +1,3 @@
+mod common;
+mod input;
+mod serving;
--- /dev/null
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -0,0 +1,281 @@
+//! A job from its arrival to its answer, and what may go wrong with each of those it meets on the way.
+
+use crate::common::*;
+use serde_json::{Value, json};
+use std::net::Shutdown;
+use std::time::Duration;
+
+fn ended(cursor: u64, id: &str, fate: &str, body: &str) -> Value {
+    json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": fate, "lasted": 30, "arg": body})
+}
+
+fn at_call(cursor: u64, id: &str) -> Value {
+    json!({"event": "CALLOUT", "cursor": cursor, "handle": id, "arg": "cXVlcnk="})
+}
+
+/// Starts a job and hears that it is run.
+fn run_job(link: &mut Peer, client: &mut Peer, call: u64, use_case: &str, id: &str) {
+    client.say(&job(call, use_case, id));
+    let run = link.command();
+    assert_eq!((&run["event"], &run["handle"]), (&json!("EXEC"), &json!(id)), "{run}");
+}
+
+fn hear_call(database: &mut Peer, id: &str) {
+    let line = database.hear_line();
+    let words: Vec<&str> = line.trim_end().split(' ').collect();
+    assert_eq!((words[0], words[1], words[3]), ("Q", id, "5"), "{line}");
+    assert_eq!(database.bytes(7), b"query\r\n");
+}
+
+#[test]
+fn a_job_is_run_calls_below_and_is_answered_with_what_its_run_made() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    let up = client.check(1);
+    assert_eq!((&up["id"], &up["result"]["up"]), (&json!(1), &json!(true)));
+    client.say(&job(2, "read", "a1"));
+    let run = link.command();
+    assert_eq!(run, json!({"event": "EXEC", "handle": "a1", "entry": "read", "arg": "aGVsbG8="}));
+    link.say(&at_call(1, "a1"));
+    let mut database = Peer::accept(&instance.database);
+    hear_call(&mut database, "a1");
+    database.write("a1 ROWS 4\r\n\u{1}\r\n\u{2}\r\n");
+    let reply = link.command();
+    assert_eq!(reply, json!({"event": "RETURN", "handle": "a1", "arg": "AQ0KAg=="}));
+    link.say(&ended(2, "a1", "good", "cmVzdWx0"));
+    let answer = client.hear();
+    assert_eq!((&answer["id"], &answer["result"]["body"]), (&json!(2), &json!("cmVzdWx0")));
+    assert!(answer["result"]["signal"].as_f64().is_some_and(|said| (0.0..=1.0).contains(&said)), "{answer}");
+    let mut beat = [0; 64];
+    let length = instance.registry.recv(&mut beat).expect("a report");
+    assert_eq!(&beat[..length], b"BEAT n1 ready");
+}
+
+#[test]
+fn nothing_is_decided_before_the_executor_is_up_but_checks_are_answered() {
+    let instance = Instance::start();
+    let (mut link, _) = instance.link();
+    let mut client = instance.client();
+    assert_eq!(client.check(1)["result"]["up"], true);
+    client.say(&job(2, "read", "a1"));
+    assert!(link.is_silent() && client.is_silent());
+    link.say(&json!({"event": "WELCOME", "fate": "new", "lasted": 0}));
+    assert_eq!(link.command()["event"], "EXEC");
+}
+
+#[test]
+fn a_link_that_breaks_is_joined_again_and_no_notice_is_told_twice() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    run_job(&mut link, &mut client, 2, "read", "a2");
+    link.say(&ended(1, "a1", "good", "b25l"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    drop(link);
+    let (mut link, cursor) = instance.link();
+    assert_eq!(cursor, 1);
+    link.say(&json!({"event": "WELCOME", "fate": "old", "lasted": 5}));
+    link.say(&ended(1, "a1", "good", "b25l"));
+    // What may have been lost with the old link is said again, once all that was missed is heard.
+    assert_eq!(link.command()["handle"], "a2");
+    link.say(&ended(2, "a2", "good", "dHdv"));
+    let answer = client.hear();
+    assert_eq!((&answer["id"], &answer["result"]["body"]), (&json!(2), &json!("dHdv")));
+    assert!(client.is_silent());
+}
+
+#[test]
+fn what_ran_on_an_executor_that_started_anew_is_written_off() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    std::thread::sleep(Duration::from_millis(300));
+    drop(link);
+    let (mut link, _) = instance.link();
+    link.say(&json!({"event": "WELCOME", "fate": "new", "lasted": 1}));
+    let answer = client.hear();
+    assert!(answer["error"]["code"].as_i64().is_some_and(|code| code != -32066), "{answer}");
+}
+
+#[test]
+fn lines_of_the_executor_that_cannot_be_read_change_nothing() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    link.write("what\n{}\n{\"event\":\"EXIT\",\"cursor\":1}\n{\"event\":\"NEWS\",\"cursor\":1}\n");
+    link.say(&ended(2, "nobody", "good", ""));
+    link.say(&json!({"event": "BAD", "fate": "KILL", "handle": "a1"}));
+    link.say(&ended(3, "a1", "good", "b25l"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+}
+
+#[test]
+fn a_run_that_the_executor_does_not_start_is_written_off_at_once() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    link.say(&json!({"event": "BAD", "fate": "EXEC", "handle": "a1"}));
+    assert!(client.hear()["error"]["code"].as_i64().is_some_and(|code| code != -32066));
+}
+
+#[test]
+fn a_call_whose_connection_breaks_is_made_again_and_one_that_is_refused_is_left_out() {
+    let mut instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    link.say(&at_call(7, "a1"));
+    let mut database = Peer::accept(&instance.database);
+    hear_call(&mut database, "a1");
+    drop(database);
+    let mut database = Peer::accept(&instance.database);
+    hear_call(&mut database, "a1");
+    // Framing that is lost ends the connection; then nobody listens any more.
+    instance.database = std::net::TcpListener::bind(free_address()).expect("a port");
+    database.write("a1 WHAT\r\n");
+    assert_eq!(link.command(), json!({"event": "BYPASS", "handle": "a1", "cursor": 7}));
+}
+
+#[test]
+fn each_reply_of_the_database_ends_its_call_and_a_run_that_ends_gives_it_up() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    let mut cursor = 0;
+    let mut database = None;
+    for (place, reply) in ["FULL", "FAIL", "TIMEOUT", "NONE"].into_iter().enumerate() {
+        let id = format!("a{place}");
+        run_job(&mut link, &mut client, place as u64, "read", &id);
+        cursor += 1;
+        link.say(&at_call(cursor, &id));
+        let database = database.get_or_insert_with(|| Peer::accept(&instance.database));
+        hear_call(database, &id);
+        database.write(&format!("{id} {reply}\r\n"));
+        // One that was not made or not answered is made once more.
+        hear_call(database, &id);
+        cursor += 1;
+        link.say(&ended(cursor, &id, "cut", ""));
+        assert_eq!(database.hear_line(), format!("X {id}\r\n"));
+        // It was stopped, not answered: it is run again, and its call starts from the beginning.
+        assert_eq!(link.command()["event"], "EXEC");
+        cursor += 1;
+        link.say(&ended(cursor, &id, "bad", ""));
+        assert!(client.hear()["error"].is_object());
+    }
+}
+
+#[test]
+fn the_same_job_sent_again_while_in_hand_runs_once_and_is_answered_where_it_was_asked_last() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    let mut other = instance.client();
+    other.say(&job(9, "read", "a1"));
+    other.check(10);
+    drop(client);
+    link.say(&ended(1, "a1", "good", "b25l"));
+    assert_eq!(other.hear()["result"]["body"], "b25l");
+    assert!(other.is_silent());
+    let command = link.is_silent() || link.hear()["event"] == "METER";
+    assert!(command);
+}
+
+#[test]
+fn a_repeat_of_a_numbered_job_shares_its_result_whether_it_runs_or_has_run() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    let numbered = |call: u64, id: &str| {
+        let mut job = job(call, "book", id);
+        job["params"]["opkey"] = json!("order-7");
+        job
+    };
+    client.say(&numbered(1, "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    client.say(&numbered(2, "a2"));
+    client.check(3);
+    link.say(&ended(1, "a1", "good", "b25l"));
+    let answers = [client.hear(), client.hear()];
+    assert!(answers.iter().all(|answer| answer["result"]["body"] == "b25l"), "{answers:?}");
+    client.say(&numbered(4, "a3"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+}
+
+#[test]
+fn an_abort_stops_the_run_and_an_abort_for_what_is_over_does_nothing() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    let abort = |id: &str| json!({"jsonrpc": "2.0", "method": "abort", "params": {"req": id}});
+    client.say(&abort("a1"));
+    assert_eq!(link.command(), json!({"event": "KILL", "handle": "a1"}));
+    link.say(&ended(1, "a1", "cut", ""));
+    client.say(&abort("a1"));
+    client.say(&abort("never"));
+    assert_eq!(client.check(1)["result"]["up"], true);
+}
+
+#[test]
+fn a_client_that_sends_nothing_more_still_gets_its_answers_and_one_that_is_gone_gets_its_run_stopped() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    client.stream().shutdown(Shutdown::Write).expect("it stands");
+    link.say(&ended(1, "a1", "good", "b25l"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    assert!(client.is_closed());
+    let mut client = instance.client();
+    run_job(&mut link, &mut client, 1, "read", "a2");
+    // Closing with bytes unread resets the connection.
+    client.say(&json!({"jsonrpc": "2.0", "id": 5, "method": "ping"}));
+    std::thread::sleep(Duration::from_millis(50));
+    drop(client);
+    assert_eq!(link.command(), json!({"event": "KILL", "handle": "a2"}));
+}
+
+#[test]
+fn after_a_kill_it_starts_again_under_its_address_with_old_connections_about() {
+    let mut instance = Instance::start();
+    let (link, mut client) = instance.ready();
+    client.check(1);
+    instance.start_again();
+    drop(link);
+    let (_link, mut client) = instance.ready();
+    assert_eq!(client.check(1)["result"]["up"], true);
+}
+
+#[test]
+fn a_drain_answers_all_that_is_held_running_at_calls_or_unread_and_exits_with_0() {
+    let mut instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    run_job(&mut link, &mut client, 2, "read", "a2");
+    run_job(&mut link, &mut client, 3, "read", "a3");
+    link.say(&at_call(1, "a1"));
+    client.say(&job(4, "read", "a4"));
+    client.check(5);
+    // Accepted by the system and not read yet, as the process stands still.
+    instance.signal("STOP");
+    let mut unread = instance.client();
+    unread.say(&job(1, "read", "b1"));
+    instance.signal("TERM");
+    instance.signal("CONT");
+    let mut answers = 0;
+    link.say(&ended(2, "a2", "good", "dHdv"));
+    while answers < 4 {
+        let heard = client.hear();
+        answers += u32::from(heard["result"].is_object() || heard["error"].is_object());
+        assert!(heard["id"].is_u64() || heard["method"] == "draining", "{heard}");
+    }
+    let mut heard = unread.hear();
+    while heard["method"] == "draining" {
+        heard = unread.hear();
+    }
+    assert_eq!(heard["id"], 1);
+    drop((client, unread));
+    assert_eq!(instance.exit_code(), Some(0));
+    let mut beat = [0; 64];
+    instance.registry.set_nonblocking(true).expect("a socket");
+    let mut last = Vec::new();
+    while let Ok(length) = instance.registry.recv(&mut beat) {
+        last = beat[..length].to_vec();
+    }
+    assert_eq!(last, b"BEAT n1 draining");
+}
--- a/crates/hazelgrade-site/src/lib.rs
+++ b/crates/hazelgrade-site/src/lib.rs
@@ -93,13 +93,13 @@
     if !settings.is_object() {
         return fault("settings", "a JSON object");
     }
-    let specifics = Part::of(&settings, "specifics");
+    let specifics = Part::of(settings, "specifics");
     let by_class = |key: &str| specifics.value.and_then(|value| value.get(key)).and_then(Value::as_array);
     let (calls, skips) = (by_class("callsByClass"), by_class("classSkipWorth"));
     let below = specifics.word("below", "none")?;
     let calls_below = !matches!(below, "none" | "silent" | "");
     let (mut use_cases, mut named) = (Vec::new(), Vec::new());
-    for (place, class) in list(&settings, "classes")?.iter().enumerate() {
+    for (place, class) in list(settings, "classes")?.iter().enumerate() {
         let part = Part { value: Some(class), path: "classes" };
         let at = |list: Option<&Vec<Value>>| list.and_then(|list| list.get(place)).cloned();
         let cut_off = part.number("giveUp", 0.0)?;
@@ -122,12 +122,12 @@
         named.push(Named { name: part.word("name", "")?.into(), repeats: use_cases[place].repeats });
     }
     let (mut customers, mut names) = (Vec::new(), Vec::new());
-    for customer in list(&settings, "customers")? {
+    for customer in list(settings, "customers")? {
         let part = Part { value: Some(customer), path: "customers" };
         customers.push(Customer { quota: part.number("quotaPerS", f64::INFINITY)? });
         names.push(part.word("name", "")?.into());
     }
-    let guarantees = Part::of(&settings, "guarantees");
+    let guarantees = Part::of(settings, "guarantees");
     let machine = Machine {
         cores: specifics.number("cores", 1.0)?.max(1.0),
         memory_kb: specifics.number("memoryKb", f64::INFINITY)?,
@@ -140,7 +140,7 @@
             "pause" => Stopping::Pauses,
             _ => return fault("settings.specifics.halt", "silent, drop or pause"),
         },
-        tick: Span::from_ms(Part { value: Some(&settings), path: "" }.number("quantum", 1.0)?.max(0.001)),
+        tick: Span::from_ms(Part { value: Some(settings), path: "" }.number("quantum", 1.0)?.max(0.001)),
     };
     let promises = Promises {
         answer_slack: guarantees.span("answerSlack", 0.0)?,
@@ -155,7 +155,7 @@
         share_over: specifics.span("callsOver", 0.0)?,
         linger: specifics.span("linger", 0.0)?,
     };
-    let ceilings = Part::of(&settings, "ceilings");
+    let ceilings = Part::of(settings, "ceilings");
     let advice = ceilings.truth("retryAfter")?;
     let callers = Callers {
         count: specifics.number("callers", 1.0)?,
@@ -168,9 +168,9 @@
         },
         heeded_for: specifics.span("saidFor", 1000.0)?,
         longest_back_in: if advice { ceilings.span("maxRetryAfter", 0.0)? } else { Span::ZERO },
-        mark_again: Part::of(&settings, "clients").truth("marksRetry")?,
-        fleet: Part { value: Some(&settings), path: "" }.number("fleetSize", 1.0)?,
-        over_quota_part: Part { value: Some(&settings), path: "" }.number("overShareWorth", 1.0)?,
+        mark_again: Part::of(settings, "clients").truth("marksRetry")?,
+        fleet: Part { value: Some(settings), path: "" }.number("fleetSize", 1.0)?,
+        over_quota_part: Part { value: Some(settings), path: "" }.number("overShareWorth", 1.0)?,
     };
     let gauges = list(specifics.value.unwrap_or(&Value::Null), "ownStats")?;
     let site = Site {
