--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -23,7 +23,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const BEAT_EVERY: Duration = Duration::from_millis(500);
 /// The database closes connections that lie idle for 10 s.
@@ -32,14 +32,14 @@
 
 /// Serves until the notice to leave, then leaves; `Ok(true)` if every answer was written.
 pub fn serve(deployment: Deployment) -> Result<bool, String> {
+    let signals = Signals::new([Signal::Term, Signal::Int]);
+    let mut signals = signals.map_err(|error| format!("signals: {error}"))?;
     let (control, site) = hazelgrade_site::instance(&deployment.settings, deployment.seed)
         .map_err(|fault| format!("settings: {}", fault.0))?;
     let listener = listener::bind(deployment.listen)
         .map_err(|error| format!("field listen: {}: {error}", deployment.listen))?;
     let registry = Registry::new(deployment.registry)
         .map_err(|error| format!("field registry: {}: {error}", deployment.registry))?;
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int]).map_err(|error| format!("signals: {error}"))?;
     tracing::info!(name = deployment.name, listen = %deployment.listen, "started");
 
     let (hand, repeats) = (Rc::new(Hand::default()), Rc::new(Repeats::default()));
@@ -66,7 +66,6 @@
         site,
         clients: Clients::new(deployment.connections),
         tasks: tasks.clone(),
-        last_job: Cell::new(Instant::now()),
         bad_lines: Cell::new(0),
     });
     let on_stream = {
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -11,15 +11,12 @@
 use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Instant;
 
 pub struct Front {
     pub parts: Rc<Parts>,
     pub site: Site,
     pub clients: Clients<JobId>,
     pub tasks: Rc<LocalExecutor<'static>>,
-    /// When the last job came.
-    pub last_job: Cell<Instant>,
     pub bad_lines: Cell<u64>,
 }
 
@@ -63,7 +60,6 @@
         if client.is_open(call).is_some() {
             return client.put(&jsonrpc::encode_wrong(&jsonrpc::still_open(call)));
         }
-        self.last_job.set(Instant::now());
         // Sent again, as after a close that crossed it: one job, answered once, where it was asked last.
         match parts.hand.ask_again(&id, asker.clone()) {
             AskedAgain::New => {}
--- a/crates/hazelgrade-server/src/routing/repeats.rs
+++ b/crates/hazelgrade-server/src/routing/repeats.rs
@@ -41,7 +41,8 @@
 impl Table {
     fn forget(&mut self, id: &JobId) {
         if let Some(marked) = self.jobs.remove(id) {
-            self.result_bytes -= marked.result.flatten().map_or(0, |body| body.len());
+            let bytes = marked.result.flatten().map_or(0, |body| body.len());
+            self.result_bytes = self.result_bytes.saturating_sub(bytes);
             if self.entries.get(&marked.key).is_some_and(|entry| entry.holder == *id) {
                 self.entries.remove(&marked.key);
             }
@@ -114,7 +115,7 @@
             };
             if let Some(body) = table.jobs.get_mut(&first).and_then(|job| job.result.replace(None)).flatten()
             {
-                table.result_bytes -= body.len();
+                table.result_bytes = table.result_bytes.saturating_sub(body.len());
             }
         }
         waiting
--- a/crates/hazelgrade-server/src/transport/clients.rs
+++ b/crates/hazelgrade-server/src/transport/clients.rs
@@ -19,12 +19,13 @@
 const OUTBOX_BYTES: usize = 256 * 1024;
 /// With more than this waiting beside its answers, a connection is not read until its peer takes what it was sent.
 const SLACK_MESSAGES: usize = 64;
+/// A younger one may have a call on its way.
+const IDLE_AT_LEAST: Duration = Duration::from_millis(250);
 /// How long a connection that is ended from here is still read, so that its peer gets what it was sent.
 const LINGER: Duration = Duration::from_millis(500);
 
 /// A connection of a client. Its calls are told apart by their number.
 pub struct Client<T> {
-    pub number: u64,
     outbox: Outbox,
     open: RefCell<BTreeMap<u64, T>>,
     closed_one: Bell,
@@ -113,20 +114,13 @@
     table: RefCell<BTreeMap<u64, Rc<Client<T>>>>,
     numbers: Cell<u64>,
     pub most: usize,
-    pub accepted: Cell<Instant>,
     /// What each new connection is told first.
     greeting: RefCell<Option<String>>,
 }
 
 impl<T: Clone> Clients<T> {
     pub fn new(most: usize) -> Clients<T> {
-        Clients {
-            table: RefCell::default(),
-            numbers: Cell::new(0),
-            most,
-            accepted: Cell::new(Instant::now()),
-            greeting: RefCell::default(),
-        }
+        Clients { table: RefCell::default(), numbers: Cell::new(0), most, greeting: RefCell::default() }
     }
 
     pub fn count(&self) -> usize {
@@ -143,12 +137,14 @@
         self.table.borrow().values().all(|client| client.is_quiet())
     }
 
-    /// Closes the connection that was idle longest and has nothing open; `false` if there is none.
-    pub fn close_idlest(&self) -> bool {
+    /// Closes the connection that was idle longest and has nothing open.
+    pub fn close_idlest(&self) {
         let table = self.table.borrow();
-        let idle = table.values().filter(|client| client.is_quiet());
-        let idlest = idle.min_by_key(|client| client.used.get());
-        idlest.inspect(|client| client.not_needed.ring()).is_some()
+        let unused = |client: &Client<T>| client.is_quiet() && client.used.get().elapsed() >= IDLE_AT_LEAST;
+        let idle = table.values().filter(|client| unused(client));
+        if let Some(idlest) = idle.min_by_key(|client| client.used.get()) {
+            idlest.not_needed.ring();
+        }
     }
 
     /// Serves one connection until it ends, and gives what was open on it then.
@@ -161,9 +157,7 @@
         let _ = stream.get_ref().set_nodelay(true);
         let number = self.numbers.get() + 1;
         self.numbers.set(number);
-        self.accepted.set(Instant::now());
         let client = Rc::new(Client {
-            number,
             outbox: Outbox::new(OUTBOX_BYTES),
             open: RefCell::default(),
             closed_one: Bell::default(),
