--- a/crates/hazelgrade-server/src/program/drain.rs
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -3,11 +3,12 @@
 use crate::protocol::jsonrpc;
 use crate::routing::front::Front;
 use crate::routing::rounds::Event;
-use crate::transport::listener::{accept, take_backlog};
+use crate::transport::listener::take_backlog;
+use async_executor::Task;
 use async_io::{Async, Timer};
-use futures_lite::future::or;
 use hazelgrade::time::Span;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// The listener closes this long before the stop, at the latest.
@@ -18,10 +19,10 @@
 
 /// Answers all that comes until the stop is near or all clients have left; `true` if every answer was written.
 pub async fn leave(
-    front: &Front,
-    listener: Async<TcpListener>,
+    front: &Rc<Front>,
+    accepting: Task<()>,
+    listener: Rc<Async<TcpListener>>,
     stop: Duration,
-    on: impl Fn(Async<TcpStream>),
 ) -> bool {
     let (began, parts) = (Instant::now(), &front.parts);
     let stopped_at = parts.rounds.clock.now() + Span::from_ms(stop.as_secs_f64() * 1000.0);
@@ -35,20 +36,18 @@
     parts.rounds.tell(Event::Leaving(stopped_at));
     front.clients.tell_all(jsonrpc::DRAINING);
     let settled = || parts.hand.owed() == 0 && front.clients.all_quiet();
-    let nobody_comes = async {
-        let mut alone_since = None;
-        while began.elapsed() + CLOSED_BEFORE < stop {
-            Timer::after(LOOK_EVERY).await;
-            let alone = front.clients.count() == 0 && settled();
-            alone_since = alone.then(|| alone_since.unwrap_or_else(Instant::now));
-            if alone_since.is_some_and(|since: Instant| since.elapsed() >= ALONE_FOR) {
-                break;
-            }
+    let mut alone_since = None;
+    while began.elapsed() + CLOSED_BEFORE < stop {
+        Timer::after(LOOK_EVERY).await;
+        let alone = front.clients.count() == 0 && settled();
+        alone_since = alone.then(|| alone_since.unwrap_or_else(Instant::now));
+        if alone_since.is_some_and(|since: Instant| since.elapsed() >= ALONE_FOR) {
+            break;
         }
-    };
-    or(nobody_comes, accept(&listener, &front.clients, &on)).await;
+    }
     // What the system has accepted counts, even unread: it is served before the listener goes.
-    take_backlog(&listener, &on);
+    accepting.cancel().await;
+    take_backlog(&listener, |stream| front.start(stream));
     drop(listener);
     Timer::after(LOOK_EVERY * 4).await;
     // The module's last answers come shortly before the stop.
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -16,12 +16,11 @@
 use crate::transport::listener;
 use crate::transport::registry::Registry;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use futures_lite::future::or;
+use futures_lite::future::{BoxedLocal, or};
 use std::cell::{Cell, RefCell};
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -68,48 +67,48 @@
         tasks: tasks.clone(),
         bad_lines: Cell::new(0),
     });
-    let on_stream = {
-        let (front, tasks) = (front.clone(), tasks.clone());
-        move |stream: Async<TcpStream>| tasks.spawn(front.clone().serve(stream)).detach()
-    };
-
+    let start = |task: BoxedLocal<()>| tasks.spawn(task).detach();
     let leaving = Rc::new(Cell::new(false));
-    tasks
-        .spawn({
-            let rounds = rounds.clone();
-            async move { rounds.run().await }
-        })
-        .detach();
-    tasks.spawn(async move { notices.keep().await }).detach();
-    tasks.spawn(async move { calls.keep().await }).detach();
-    tasks
-        .spawn({
-            let (rounds, leaving, name) = (rounds.clone(), leaving.clone(), deployment.name.clone());
-            async move {
-                loop {
-                    let ready = !leaving.get() && (rounds.good() || !list_follows_health);
-                    registry.send(&registry::encode(&name, ready));
-                    let due = async {
-                        Timer::after(BEAT_EVERY).await;
-                    };
-                    or(rounds.health_changed(), due).await;
-                }
-            }
-        })
-        .detach();
-    tasks.spawn(summary(front.clone())).detach();
+    let beats = beat(registry, deployment.name.clone(), rounds.clone(), leaving.clone(), list_follows_health);
+    start(Box::pin(beats));
+    start(Box::pin(summary(front.clone())));
+    let (for_link, for_calls, for_rounds) = (tasks.clone(), tasks.clone(), rounds.clone());
+    start(Box::pin(async move { notices.keep(&for_link).await }));
+    start(Box::pin(async move { calls.keep(&for_calls).await }));
+    start(Box::pin(async move { for_rounds.run().await }));
+    let listener = Rc::new(listener);
+    let accepting = {
+        let (listener, front) = (listener.clone(), front.clone());
+        async move { listener::accept(&listener, &front.clients, |stream| front.start(stream)).await }
+    };
+    let accepting = tasks.spawn(accepting);
 
     async_io::block_on(tasks.run(async {
-        let notice = async {
-            signals.next().await;
-        };
-        or(notice, listener::accept(&listener, &front.clients, &on_stream)).await;
+        signals.next().await;
         leaving.set(true);
         rounds.beat_now();
-        Ok(drain::leave(&front, listener, deployment.stop, &on_stream).await)
+        Ok(drain::leave(&front, accepting, listener, deployment.stop).await)
     }))
 }
 
+/// Reports to the registry, now and then and at each change of health.
+async fn beat(
+    registry: Registry,
+    name: String,
+    rounds: Rc<Rounds>,
+    leaving: Rc<Cell<bool>>,
+    list_follows_health: bool,
+) {
+    loop {
+        let ready = !leaving.get() && (rounds.good() || !list_follows_health);
+        registry.send(&registry::encode(&name, ready));
+        let due = async {
+            Timer::after(BEAT_EVERY).await;
+        };
+        or(rounds.health_changed(), due).await;
+    }
+}
+
 /// Says now and then what was answered.
 async fn summary(front: Rc<Front>) {
     let mut before = 0;
--- a/crates/hazelgrade-server/src/routing/calls.rs
+++ b/crates/hazelgrade-server/src/routing/calls.rs
@@ -5,6 +5,7 @@
 use crate::protocol::database::{self, Reply};
 use crate::transport::database::Database;
 use crate::transport::ending::ConnectionEnd;
+use async_executor::LocalExecutor;
 use hazelgrade::desk::JobId;
 use hazelgrade::time::Span;
 use std::cell::RefCell;
@@ -41,7 +42,7 @@
     }
 
     /// Holds the connection, and hands each end of a call to its job.
-    pub async fn keep(&self) {
+    pub async fn keep(&self, tasks: &LocalExecutor<'static>) {
         let Some(database) = &self.database else { return std::future::pending().await };
         let decode = |line: &[u8]| match database::decode(line) {
             Ok((id, reply, length)) => Ok(((id, reply), length)),
@@ -69,6 +70,6 @@
             }
         };
         let busy = || !self.made.borrow().is_empty();
-        database.keep(database::LONGEST_LINE, decode, replied, busy, ended).await;
+        database.keep(tasks, database::LONGEST_LINE, decode, replied, busy, ended).await;
     }
 }
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -21,10 +21,15 @@
 }
 
 impl Front {
+    /// Starts to serve a connection.
+    pub fn start(self: &Rc<Self>, stream: Async<TcpStream>) {
+        self.tasks.spawn(self.clone().serve(stream)).detach();
+    }
+
     /// Serves one connection of a client until it ends; callers whose connection is gone are gone.
-    pub async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
         let on_line = async |client: &Rc<Client<JobId>>, line: &[u8]| self.take(client, line).await;
-        let (end, open) = self.clients.serve(stream, jsonrpc::LONGEST_LINE, on_line).await;
+        let (end, open) = self.clients.serve(&self.tasks, stream, jsonrpc::LONGEST_LINE, on_line).await;
         if !open.is_empty() {
             tracing::debug!(?end, jobs = open.len(), "a connection ended with jobs open");
         }
--- a/crates/hazelgrade-server/src/routing/notices.rs
+++ b/crates/hazelgrade-server/src/routing/notices.rs
@@ -5,6 +5,7 @@
 use crate::protocol::executor::{self, Command, Notice};
 use crate::transport::ending::ConnectionEnd;
 use crate::transport::executor::Link;
+use async_executor::LocalExecutor;
 use hazelgrade::time::Span;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -43,7 +44,7 @@
     }
 
     /// Holds the link for good.
-    pub async fn keep(&self) {
+    pub async fn keep(&self, tasks: &LocalExecutor<'static>) {
         let hello = || {
             self.joined.set(Instant::now());
             executor::encode(&Command::Join { cursor: self.heard.get() })
@@ -53,7 +54,7 @@
                 tracing::warn!(?end, "the executor link ended");
             }
         };
-        self.link.keep(executor::LONGEST_LINE, hello, |line| self.take(line), ended).await;
+        self.link.keep(tasks, executor::LONGEST_LINE, hello, |line| self.take(line), ended).await;
     }
 
     /// `false` for a notice that was heard on an earlier link.
--- a/crates/hazelgrade-server/src/transport/clients.rs
+++ b/crates/hazelgrade-server/src/transport/clients.rs
@@ -4,6 +4,7 @@
 use super::lines::read_line;
 use super::outbox::Outbox;
 use crate::bell::Bell;
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
 use futures_lite::io::{AsyncBufReadExt, BufReader};
@@ -26,7 +27,7 @@
 
 /// A connection of a client. Its calls are told apart by their number.
 pub struct Client<T> {
-    outbox: Outbox,
+    outbox: Rc<Outbox>,
     open: RefCell<BTreeMap<u64, T>>,
     closed_one: Bell,
     used: Cell<Instant>,
@@ -150,15 +151,17 @@
     /// Serves one connection until it ends, and gives what was open on it then.
     pub async fn serve(
         &self,
+        tasks: &LocalExecutor<'static>,
         stream: Async<TcpStream>,
         longest: usize,
         on_line: impl AsyncFn(&Rc<Client<T>>, &[u8]),
     ) -> (ConnectionEnd, Vec<T>) {
         let _ = stream.get_ref().set_nodelay(true);
+        let stream = Rc::new(stream);
         let number = self.numbers.get() + 1;
         self.numbers.set(number);
         let client = Rc::new(Client {
-            outbox: Outbox::new(OUTBOX_BYTES),
+            outbox: Rc::new(Outbox::new(OUTBOX_BYTES)),
             open: RefCell::default(),
             closed_one: Bell::default(),
             used: Cell::new(Instant::now()),
@@ -168,7 +171,6 @@
             client.put(greeting);
         }
         self.table.borrow_mut().insert(number, client.clone());
-        let mut sink = &stream;
         let closed = async {
             loop {
                 client.not_needed.heard().await;
@@ -178,7 +180,7 @@
             }
         };
         let read = client.read(&stream, longest, async |line: &[u8]| on_line(&client, line).await);
-        let end = or(or(closed, read), client.outbox.write_to(&mut sink)).await;
+        let end = or(or(closed, read), client.outbox.clone().writer(tasks, stream.clone())).await;
         self.table.borrow_mut().remove(&number);
         (end, client.open.take().into_values().collect())
     }
--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -4,6 +4,7 @@
 use super::lines::{read_body, read_line};
 use super::outbox::Outbox;
 use crate::bell::Bell;
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
@@ -62,6 +63,7 @@
     /// length of its body; `on_end` hears which connection ended.
     pub async fn keep<H>(
         &self,
+        tasks: &LocalExecutor<'static>,
         longest: usize,
         on_head: impl Fn(&[u8]) -> Result<(H, Option<usize>), ConnectionEnd>,
         on_reply: impl Fn(H, Vec<u8>),
@@ -79,8 +81,9 @@
                 Err(_) => ConnectionEnd::Unreachable,
                 Ok(stream) => {
                     let _ = stream.get_ref().set_nodelay(true);
+                    let stream = Rc::new(stream);
                     let read = async {
-                        let (mut source, mut line) = (BufReader::new(&stream), Vec::new());
+                        let (mut source, mut line) = (BufReader::new(&*stream), Vec::new());
                         loop {
                             if let Err(end) = read_line(&mut source, &mut line, longest).await {
                                 break end;
@@ -107,8 +110,7 @@
                             }
                         }
                     };
-                    let mut sink = &stream;
-                    or(or(read, idle), outbox.write_to(&mut sink)).await
+                    or(or(read, idle), outbox.clone().writer(tasks, stream.clone())).await
                 }
             };
             *self.outbox.borrow_mut() = None;
--- a/crates/hazelgrade-server/src/transport/executor.rs
+++ b/crates/hazelgrade-server/src/transport/executor.rs
@@ -3,6 +3,7 @@
 use super::ending::ConnectionEnd;
 use super::lines::read_line;
 use super::outbox::Outbox;
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
@@ -34,6 +35,7 @@
     /// Holds the link for good. `hello` is the first line on each new one; `on_line` may end it.
     pub async fn keep(
         &self,
+        tasks: &LocalExecutor<'static>,
         longest: usize,
         hello: impl Fn() -> String,
         on_line: impl Fn(&[u8]) -> Result<(), ConnectionEnd>,
@@ -41,7 +43,7 @@
     ) {
         loop {
             let end = match Async::<TcpStream>::connect(self.address).await {
-                Ok(stream) => self.hold(&stream, longest, &hello, &on_line).await,
+                Ok(stream) => self.hold(tasks, Rc::new(stream), longest, &hello, &on_line).await,
                 Err(_) => ConnectionEnd::Unreachable,
             };
             *self.outbox.borrow_mut() = None;
@@ -52,7 +54,8 @@
 
     async fn hold(
         &self,
-        stream: &Async<TcpStream>,
+        tasks: &LocalExecutor<'static>,
+        stream: Rc<Async<TcpStream>>,
         longest: usize,
         hello: &impl Fn() -> String,
         on_line: &impl Fn(&[u8]) -> Result<(), ConnectionEnd>,
@@ -62,7 +65,7 @@
         outbox.put(hello().as_bytes());
         *self.outbox.borrow_mut() = Some(outbox.clone());
         let read = async {
-            let (mut source, mut line) = (BufReader::new(stream), Vec::new());
+            let (mut source, mut line) = (BufReader::new(&*stream), Vec::new());
             loop {
                 if let Err(end) = read_line(&mut source, &mut line, longest).await {
                     break end;
@@ -72,7 +75,6 @@
                 }
             }
         };
-        let mut sink = stream;
-        or(read, outbox.write_to(&mut sink)).await
+        or(read, outbox.writer(tasks, stream.clone())).await
     }
 }
--- a/crates/hazelgrade-server/src/transport/outbox.rs
+++ b/crates/hazelgrade-server/src/transport/outbox.rs
@@ -3,8 +3,12 @@
 
 use super::ending::ConnectionEnd;
 use crate::bell::Bell;
+use async_executor::{LocalExecutor, Task};
+use async_io::Async;
 use futures_lite::io::{AsyncWrite, AsyncWriteExt};
 use std::cell::{Cell, RefCell};
+use std::net::TcpStream;
+use std::rc::Rc;
 
 pub struct Outbox {
     waiting: RefCell<Vec<u8>>,
@@ -51,8 +55,17 @@
         }
     }
 
+    /// Starts the writer of a connection, a task of its own: what is put in doesn't wake the reader.
+    pub fn writer(
+        self: Rc<Self>,
+        tasks: &LocalExecutor<'static>,
+        stream: Rc<Async<TcpStream>>,
+    ) -> Task<ConnectionEnd> {
+        tasks.spawn(async move { self.write_to(&mut &*stream).await })
+    }
+
     /// Writes what is put in, until the connection ends.
-    pub async fn write_to(&self, sink: &mut (impl AsyncWrite + Unpin)) -> ConnectionEnd {
+    async fn write_to(&self, sink: &mut (impl AsyncWrite + Unpin)) -> ConnectionEnd {
         loop {
             self.filled.heard().await;
             while self.unwritten() > 0 && !self.overrun.get() {
--- a/crates/hazelgrade-server/tests/instance/input.rs
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -142,7 +142,9 @@
     let database = Database::new(listener.local_addr().expect("bound"), Duration::from_millis(50));
     let (busy, ends) = (Cell::new(true), Cell::new(Vec::new()));
     let ended = |number, end| ends.set([ends.take(), vec![(number, end)]].concat());
-    let keep = database.keep(99, |_: &[u8]| Ok(((), None)), |(), _| busy.set(false), || busy.get(), ended);
+    let tasks = async_executor::LocalExecutor::new();
+    let keep =
+        database.keep(&tasks, 99, |_: &[u8]| Ok(((), None)), |(), _| busy.set(false), || busy.get(), ended);
     let play = async {
         assert_eq!(database.send(b"Q\r\n"), 1);
         async_io::Timer::after(Duration::from_millis(200)).await;
@@ -153,7 +155,7 @@
         assert!(peer.is_closed() && !busy.get());
         assert_eq!(database.send(b"Q\r\n"), 2);
     };
-    async_io::block_on(futures_lite::future::or(play, keep));
+    async_io::block_on(tasks.run(futures_lite::future::or(play, keep)));
     let ended = format!("{:?}", ends.take());
     assert_eq!(ended, "[(1, Idle)]");
 }
