Tests take addresses without trying them out; connecting is given up after a second

One run in ten failed with the address in use: a process started in another thread held the tried-out socket between fork and exec. Connecting to the executor had no time-out (transport/executor.rs); it now shares the database's, of one second.

--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -1,20 +1,20 @@
 //! The connection to what lies below: opened when a call needs it, closed when it lies idle.
 
+use super::connect::connect;
 use super::ending::ConnectionEnd;
 use super::lines::{read_body, read_line};
 use super::outbox::Outbox;
 use crate::bell::Bell;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 const OUTBOX_BYTES: usize = 4 * 1024 * 1024;
-const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 
 pub struct Database {
     address: SocketAddr,
@@ -73,14 +73,9 @@
         loop {
             self.wanted.heard().await;
             let Some(outbox) = self.outbox.borrow().clone() else { continue };
-            let late = async {
-                Timer::after(CONNECT_WITHIN).await;
-                Err(std::io::ErrorKind::TimedOut.into())
-            };
-            let end = match or(Async::<TcpStream>::connect(self.address), late).await {
+            let end = match connect(self.address).await {
                 Err(_) => ConnectionEnd::Unreachable,
                 Ok(stream) => {
-                    let _ = stream.get_ref().set_nodelay(true);
                     let stream = Rc::new(stream);
                     let read = async {
                         let (mut source, mut line) = (BufReader::new(&*stream), Vec::new());
--- a/crates/hazelgrade-server/src/transport/executor.rs
+++ b/crates/hazelgrade-server/src/transport/executor.rs
@@ -1,5 +1,6 @@
 //! The link to the executor: held open, and opened anew when it ends.
 
+use super::connect::connect;
 use super::ending::ConnectionEnd;
 use super::lines::read_line;
 use super::outbox::Outbox;
@@ -42,7 +43,7 @@
         on_end: impl Fn(ConnectionEnd),
     ) {
         loop {
-            let end = match Async::<TcpStream>::connect(self.address).await {
+            let end = match connect(self.address).await {
                 Ok(stream) => self.hold(tasks, Rc::new(stream), longest, &hello, &on_line).await,
                 Err(_) => ConnectionEnd::Unreachable,
             };
@@ -60,7 +61,6 @@
         hello: &impl Fn() -> String,
         on_line: &impl Fn(&[u8]) -> Result<(), ConnectionEnd>,
     ) -> ConnectionEnd {
-        let _ = stream.get_ref().set_nodelay(true);
         let outbox = Rc::new(Outbox::new(OUTBOX_BYTES));
         outbox.put(hello().as_bytes());
         *self.outbox.borrow_mut() = Some(outbox.clone());
--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -37,14 +37,13 @@
     configuration: Value,
 }
 
-/// An address that nothing else of these tests uses: each has a loopback host of its own.
+/// An address that nothing else of these tests uses: each has a loopback host of its own. It isn't tried out
+/// first: a process that is being started in another thread would hold it for a moment longer.
 pub fn free_address() -> SocketAddr {
     static HOSTS: AtomicU32 = AtomicU32::new(2);
     let host = HOSTS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let process = std::process::id().to_be_bytes();
-    let any_port = SocketAddr::from(([127, process[3] | 1, host[2], host[3]], 0));
-    let listener = TcpListener::bind(any_port).expect("a port");
-    listener.local_addr().expect("an address")
+    SocketAddr::from(([127, process[2], process[3], host[3]], 9090))
 }
 
 /// Writes a configuration and gives the path to it.
