--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -217,11 +217,13 @@
 
     /// The next command that isn't about gauges; these are answered.
     pub fn command(&mut self) -> Value {
+        let by = Instant::now() + SOON;
         loop {
             let heard = self.hear();
             if heard["event"] != "METER" {
                 return heard;
             }
+            assert!(Instant::now() < by, "nothing but questions for the gauges");
             self.say(&json!({"event": "METERS", "ticket": heard["ticket"], "figures": [3, 0.5]}));
         }
     }
