After a link broke, only what may have been lost with it is sent again

Seen by reading routing/job.rs with the protocol: each job whose run went on after its call sent RETURN again on every new link, and a run that had reached its next call in that instant would have taken the old reply for the new one. Test seen to fail without the condition.

--- a/crates/hazelgrade-server/src/routing/hand.rs
+++ b/crates/hazelgrade-server/src/routing/hand.rs
@@ -11,6 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// What may wait for a job's task at once; it takes them as they come and never waits for anything else.
 const TURNS: usize = 16;
@@ -36,8 +37,8 @@
         body: Body,
     },
     NotDone,
-    /// The link is back; a command may have been lost with the old one.
-    Relinked,
+    /// The link is back; commands sent from the first time up to the second may have been lost with the old one.
+    Relinked(Instant, Instant),
     /// The executor started anew: nothing that ran before runs now.
     RunsOver,
     // Told by others:
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -137,6 +137,7 @@
         parts.send(&Command::Run { id: &id, use_case: &use_case, body: &body });
         let began = parts.rounds.clock.now();
         let (mut last, mut stopping, mut at_call) = (Some(Last::Run), false, None::<AtCall>);
+        let mut sent = Instant::now();
         let (end, lasted, yielded) = loop {
             let silent = at_call.as_ref().and_then(|at| at.made).map(|(_, silent)| silent);
             let Some(turn) = next(&turns, silent).await else { break 'in_hand };
@@ -166,22 +167,23 @@
                     {
                         let reply = from_bytes(&reply);
                         parts.send(&Command::Reply { id: &id, body: &reply });
-                        (last, at_call) = (Some(Last::Reply(reply)), None);
+                        (last, at_call, sent) = (Some(Last::Reply(reply)), None, Instant::now());
                     }
                     parts.rounds.tell(Event::CallEnded(id.clone(), outcome, took));
                 }
                 Turn::SkipCall => {
                     let Some(AtCall { cursor, .. }) = at_call.take() else { continue };
                     parts.send(&Command::SkipCall { id: &id, cursor });
-                    last = Some(Last::SkipCall(cursor));
+                    (last, sent) = (Some(Last::SkipCall(cursor)), Instant::now());
                 }
                 Turn::Stop => {
                     stopping = true;
                     parts.send(&Command::Stop { id: &id });
                 }
                 Turn::Answer(answer) => parts.answer(&id, &answer),
-                Turn::Relinked => {
-                    match &last {
+                Turn::Relinked(from, to) => {
+                    // A reply that did arrive must not come again: the run may stand at its next call.
+                    match last.as_ref().filter(|_| from <= sent && sent < to) {
                         Some(Last::Run) => {
                             parts.send(&Command::Run { id: &id, use_case: &use_case, body: &body })
                         }
--- a/crates/hazelgrade-server/src/routing/notices.rs
+++ b/crates/hazelgrade-server/src/routing/notices.rs
@@ -26,6 +26,8 @@
     joined: Cell<Instant>,
     /// When the executor last said how long it is up, and how long that was.
     up: Cell<Option<(Instant, Span)>>,
+    /// Since when commands may have been lost, once a link has ended.
+    unproved: Cell<Option<Instant>>,
     unreadable: Cell<u64>,
 }
 
@@ -39,6 +41,7 @@
             heard: Cell::new(0),
             joined: Cell::new(Instant::now()),
             up: Cell::new(None),
+            unproved: Cell::new(None),
             unreadable: Cell::new(0),
         }
     }
@@ -50,6 +53,9 @@
             executor::encode(&Command::Join { cursor: self.heard.get() })
         };
         let ended = |end: ConnectionEnd| {
+            if self.unproved.get().is_none() {
+                self.unproved.set(Some(self.rounds.proved()));
+            }
             if end != ConnectionEnd::Unreachable {
                 tracing::warn!(?end, "the executor link ended");
             }
@@ -84,7 +90,11 @@
                 self.hand.send(&id, Turn::AtCall { cursor, body });
             }
             Notice::Ended { .. } | Notice::AtCall { .. } => {}
-            Notice::Gauges { ticket, .. } if ticket == ALL_HEARD => self.hand.send_all(|| Turn::Relinked),
+            Notice::Gauges { ticket, .. } if ticket == ALL_HEARD => {
+                if let Some(from) = self.unproved.take() {
+                    self.hand.send_all(|| Turn::Relinked(from, self.joined.get()));
+                }
+            }
             Notice::Gauges { ticket, figures } => {
                 let used = self.cores_used.and_then(|place| figures.get(place)).copied();
                 self.rounds.gauges(&ticket, used.filter(|used| used.is_finite()));
--- a/crates/hazelgrade-server/src/routing/rounds.rs
+++ b/crates/hazelgrade-server/src/routing/rounds.rs
@@ -45,6 +45,8 @@
     timers: RefCell<BTreeSet<(Time, u64)>>,
     /// Timers that are due, until when each waits for the gauges.
     due: RefCell<BTreeMap<u64, Instant>>,
+    /// When the last question was sent that the executor answered: it has all that was sent before.
+    proved: Cell<Instant>,
     said: Cell<Option<f64>>,
     good: Cell<bool>,
     health_changed: Bell,
@@ -66,6 +68,7 @@
             open: Cell::new(false),
             timers: RefCell::default(),
             due: RefCell::default(),
+            proved: Cell::new(Instant::now()),
             said: Cell::new(None),
             good: Cell::new(true),
             health_changed: Bell::default(),
@@ -101,6 +104,11 @@
         self.health_changed.heard().await;
     }
 
+    /// All that was sent to the executor before this has reached it.
+    pub fn proved(&self) -> Instant {
+        self.proved.get()
+    }
+
     /// The registry is to hear at once.
     pub fn beat_now(&self) {
         self.health_changed.ring();
@@ -108,8 +116,9 @@
 
     /// The gauges came, for the timer that asked for them.
     pub fn gauges(&self, ticket: &str, cores_used: Option<f64>) {
-        let token = ticket.parse().ok().filter(|token| self.due.borrow_mut().remove(token).is_some());
-        if let Some(token) = token {
+        let Ok(token) = ticket.parse() else { return };
+        if let Some(by) = self.due.borrow_mut().remove(&token) {
+            self.proved.set(by - GAUGES_WITHIN);
             self.tell(Event::Woke(token, cores_used));
         }
     }
--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -224,7 +224,20 @@
                 return heard;
             }
             assert!(Instant::now() < by, "nothing but questions for the gauges");
-            self.say(&json!({"event": "METERS", "ticket": heard["ticket"], "figures": [3, 0.5]}));
+            self.gauges(&heard);
+        }
+    }
+
+    fn gauges(&mut self, asked: &Value) {
+        self.say(&json!({"event": "METERS", "ticket": asked["ticket"], "figures": [3, 0.5]}));
+    }
+
+    /// Answers so many questions for the gauges; nothing else may come before.
+    pub fn answer_gauges(&mut self, count: usize) {
+        for _ in 0..count {
+            let heard = self.hear();
+            assert_eq!(heard["event"], "METER", "{heard}");
+            self.gauges(&heard);
         }
     }
 
--- a/crates/hazelgrade-server/tests/instance/serving.rs
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -96,6 +96,28 @@
     assert!(client.is_silent());
 }
 
+#[test]
+fn a_reply_that_the_executor_is_known_to_have_is_not_sent_again_on_a_new_link() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    link.say(&at_call(1, "a1"));
+    let mut database = Peer::accept(&instance.database);
+    hear_call(&mut database, "a1");
+    database.write("a1 ROWS 0\r\n\r\n");
+    assert_eq!(link.command()["event"], "RETURN");
+    // Two questions answered in order after it prove that it arrived.
+    link.answer_gauges(2);
+    std::thread::sleep(Duration::from_millis(20));
+    drop(link);
+    let (mut link, _) = instance.link();
+    link.say(&json!({"event": "WELCOME", "fate": "old", "lasted": 5}));
+    // The first asks whether all is heard; what may be lost would be sent at once after it.
+    link.answer_gauges(3);
+    link.say(&ended(2, "a1", "good", "b25l"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+}
+
 #[test]
 fn what_ran_on_an_executor_that_started_anew_is_written_off() {
     let instance = Instance::start();
