A process that stood still when the notice to leave came counts from before

Seen by reading program/drain.rs: the stop was counted from when the signal was handled, so that after a pause the last answers would have come after the kill. The drain's test stops the process for half a second round the signal; seen to fail without.

--- a/crates/hazelgrade-server/src/program/drain.rs
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -24,8 +24,12 @@
     listener: Rc<Async<TcpListener>>,
     stop: Duration,
 ) -> bool {
-    let (began, parts) = (Instant::now(), &front.parts);
-    let stopped_at = parts.rounds.clock.now() + Span::from_ms(stop.as_secs_f64() * 1000.0);
+    let parts = &front.parts;
+    // If the process stood still, the notice came while it did: at the worst, as soon as it was last seen to run.
+    let noticed = parts.rounds.alive();
+    let late = Duration::from_secs_f64(parts.rounds.clock.now().since(noticed).as_ms() / 1000.0).min(stop);
+    let began = Instant::now().checked_sub(late).unwrap_or_else(Instant::now);
+    let stopped_at = noticed + Span::from_ms(stop.as_secs_f64() * 1000.0);
     tracing::info!(
         in_hand = parts.hand.count(),
         owed = parts.hand.owed(),
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -102,6 +102,7 @@
     loop {
         let ready = !leaving.get() && (rounds.good() || !list_follows_health);
         registry.send(&registry::encode(&name, ready));
+        rounds.alive();
         let due = async {
             Timer::after(BEAT_EVERY).await;
         };
--- a/crates/hazelgrade-server/src/routing/rounds.rs
+++ b/crates/hazelgrade-server/src/routing/rounds.rs
@@ -47,6 +47,8 @@
     due: RefCell<BTreeMap<u64, Instant>>,
     /// When the last question was sent that the executor answered: it has all that was sent before.
     proved: Cell<Instant>,
+    /// When the process was last seen to run.
+    alive: Cell<Time>,
     said: Cell<Option<f64>>,
     good: Cell<bool>,
     health_changed: Bell,
@@ -59,9 +61,11 @@
 
 impl Rounds {
     pub fn new(control: Control, tick: Span, hand: Rc<Hand>, repeats: Rc<Repeats>, link: Rc<Link>) -> Rounds {
+        let clock = Clock::default();
         Rounds {
             control: RefCell::new(control),
-            clock: Clock::default(),
+            alive: Cell::new(clock.now()),
+            clock,
             tick: Duration::from_secs_f64(tick.as_ms() / 1000.0),
             events: RefCell::default(),
             came: Bell::default(),
@@ -104,6 +108,11 @@
         self.health_changed.heard().await;
     }
 
+    /// The process runs now; gives when it was last seen to.
+    pub fn alive(&self) -> Time {
+        self.alive.replace(self.clock.now())
+    }
+
     /// All that was sent to the executor before this has reached it.
     pub fn proved(&self) -> Instant {
         self.proved.get()
@@ -184,6 +193,7 @@
             }
         };
         self.control.borrow_mut().round(now, feed, &mut Writer { rounds: self, now });
+        self.alive();
         self.rounds.set(self.rounds.get() + 1);
         self.longest.set(self.longest.get().max(began.elapsed()));
     }
--- a/crates/hazelgrade-server/tests/instance/serving.rs
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -4,7 +4,7 @@
 use hazelgrade_server::transport::listener::{bind, take_backlog};
 use serde_json::{Value, json};
 use std::net::Shutdown;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn ended(cursor: u64, id: &str, fate: &str, body: &str) -> Value {
     json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": fate, "lasted": 30, "arg": body})
@@ -291,7 +291,9 @@
     instance.signal("STOP");
     let mut unread = instance.client();
     unread.say(&job(1, "read", "b1"));
+    let told = Instant::now();
     instance.signal("TERM");
+    std::thread::sleep(Duration::from_millis(500));
     instance.signal("CONT");
     let mut answers = 0;
     link.say(&ended(2, "a2", "good", "dHdv"));
@@ -305,6 +307,8 @@
         heard = unread.hear();
     }
     assert_eq!(heard["id"], 1);
+    // It stood still when the notice came, and still counts from there.
+    assert!(told.elapsed() < Duration::from_millis(1500));
     drop((client, unread));
     assert_eq!(instance.exit_code(), Some(0));
     let mut beat = [0; 64];
