--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -27,7 +27,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-const BEAT_EVERY: Duration = Duration::from_millis(500);
+/// Reports get lost; so many go out in the three seconds after which an instance is taken off the list.
+const BEAT_EVERY: Duration = Duration::from_millis(250);
 /// The database closes or forgets connections that lie idle, some early; opening one costs little.
 const DATABASE_IDLE: Duration = Duration::from_secs(1);
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
@@ -79,6 +80,8 @@
         beat(registry.clone(), deployment.name.clone(), rounds.clone(), leaving.clone(), list_follows_health);
     start(Box::pin(beats));
     start(Box::pin(summary(front.clone())));
+    let watched = front.clone();
+    start(Box::pin(async move { watched.clients.watch().await }));
     let (for_link, for_rounds) = (tasks.clone(), rounds.clone());
     start(Box::pin(async move { notices.keep(&for_link).await }));
     start(Box::pin(async move { for_rounds.run().await }));
@@ -157,6 +160,7 @@
             replies_unknown = parts.calls.unknown.get(),
             unknown = parts.hand.unknown.get(),
             bad_lines = front.bad_lines.get(),
+            turned_out = front.clients.turned_out.get(),
             "so far"
         );
     }
--- a/crates/hazelgrade-server/src/protocol/jsonrpc.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc.rs
@@ -162,6 +162,7 @@
         rank,
         again,
         repeats: None,
+        known: false,
     };
     Ok(Asked { call, job, body, mark })
 }
@@ -212,6 +213,12 @@
     line(&json!({"jsonrpc": "2.0", "id": wrong.call, "error": error}))
 }
 
+/// What a peer is told whose connection is ended for a message past the longest, or one wrong message too many.
+pub fn last_words(too_long: bool) -> String {
+    let message = if too_long { "the line is longer than any message" } else { "too many wrong messages" };
+    encode_wrong(&Wrong { call: None, code: NOT_A_CALL, message: message.into() })
+}
+
 pub fn wrong_time(call: u64) -> Wrong {
     let message = "field ts: expected a time in the past, and within the cut-off".into();
     Wrong { call: Some(call), code: WRONG_PARAMS, message }
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -2,8 +2,9 @@
 
 use super::hand::{Asker, Words};
 use super::job::{self, Parts};
-use crate::protocol::jsonrpc::{self, Answer, Asked, Incoming};
+use crate::protocol::jsonrpc::{self, Answer, Asked, Incoming, Wrong};
 use crate::transport::clients::{Client, Clients};
+use crate::transport::ending::ConnectionEnd;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use hazelgrade::desk::JobId;
@@ -33,7 +34,13 @@
     /// Serves one connection of a client until it ends; callers whose connection is gone are gone.
     async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
         let on_line = async |client: &Rc<Client<JobId>>, line: &[u8]| self.take(client, line).await;
-        let (end, open) = self.clients.serve(&self.tasks, stream, jsonrpc::LONGEST_LINE, on_line).await;
+        let last_words = |end| match end {
+            ConnectionEnd::TooLong => Some(jsonrpc::last_words(true)),
+            ConnectionEnd::Misused => Some(jsonrpc::last_words(false)),
+            _ => None,
+        };
+        let serving = self.clients.serve(&self.tasks, stream, jsonrpc::LONGEST_LINE, on_line, last_words);
+        let (end, open) = serving.await;
         if !open.is_empty() {
             tracing::debug!(?end, jobs = open.len(), "a connection ended with jobs open");
         }
@@ -57,37 +64,41 @@
             Ok(Incoming::Check(call)) => {
                 client.put(&jsonrpc::encode_check(call, rounds.good(), rounds.said()));
             }
-            Err(wrong) => {
-                self.bad_lines.set(self.bad_lines.get() + 1);
-                client.put(&jsonrpc::encode_wrong(&wrong));
-            }
+            Err(wrong) => self.refuse(client, &wrong),
         }
     }
 
+    fn refuse(&self, client: &Client<JobId>, wrong: &Wrong) {
+        self.bad_lines.set(self.bad_lines.get() + 1);
+        client.put(&jsonrpc::encode_wrong(wrong));
+        client.misused();
+    }
+
     fn arrived(&self, client: &Rc<Client<JobId>>, mut asked: Asked) {
         let (parts, id, call) = (&self.parts, asked.job.id.clone(), asked.call);
         let asker = Asker { client: client.clone(), call };
         if client.is_open(call).is_some() {
-            return client.put(&jsonrpc::encode_wrong(&jsonrpc::still_open()));
+            return self.refuse(client, &jsonrpc::still_open());
         }
         let words = Words::of(&asked);
         if let Some(same) = parts.hand.has(&id, &words) {
             // Of another job under this id nothing was run; of the same nothing is known yet.
             let bounced = Answer::Bounced { not_elsewhere: false, back_in: Span::ZERO };
             let answer = if same { Answer::WrittenOff } else { bounced };
-            return client.put(&jsonrpc::encode(call, &answer, parts.rounds.said()));
+            client.put(&jsonrpc::encode(call, &answer, parts.rounds.said()));
+            return client.misused();
         }
         let reached = parts.rounds.clock.past(asked.job.reached);
         let now = parts.rounds.clock.now();
         if asked.job.reached > now + Span::from_ms(AHEAD_MS)
             || reached + self.site.use_cases[asked.job.use_case].cut_off < now
         {
-            self.bad_lines.set(self.bad_lines.get() + 1);
-            return client.put(&jsonrpc::encode_wrong(&jsonrpc::wrong_time(call)));
+            return self.refuse(client, &jsonrpc::wrong_time(call));
         }
         client.open(call, id.clone());
         let key = asked.mark.take().map(|mark| (asked.job.use_case, mark));
         asked.job.reached = reached;
+        asked.job.known = client.is_proved();
         asked.job.repeats = key.and_then(|key| parts.repeats.arrived(&id, key, asked.job.reached));
         parts.tally.borrow_mut().arrived += 1;
         let turns = parts.hand.take(id, words, asker);
--- a/crates/hazelgrade-server/src/routing/hand.rs
+++ b/crates/hazelgrade-server/src/routing/hand.rs
@@ -101,6 +101,11 @@
         self.jobs.borrow().get(id).is_some_and(|slot| slot.asker.is_some())
     }
 
+    /// Who asked for it, while an answer is owed.
+    pub fn asker(&self, id: &JobId) -> Option<Rc<Client<JobId>>> {
+        self.jobs.borrow().get(id)?.asker.as_ref().map(|asker| asker.client.clone())
+    }
+
     /// Takes the right to answer: whoever gets it answers, and nobody after.
     pub fn to_answer(&self, id: &JobId) -> Option<Asker> {
         self.jobs.borrow_mut().get_mut(id)?.asker.take()
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -34,6 +34,8 @@
     pub callers_gone: u64,
     /// Ends of runs whose job was answered before.
     pub unwanted: u64,
+    /// Jobs that the executor did not know.
+    pub not_known: u64,
 }
 
 /// What the life of a job needs of its surroundings.
@@ -57,7 +59,10 @@
         };
         match answer {
             Answer::Satisfied(_) => tally.satisfied += 1,
-            Answer::Bounced { .. } => tally.bounced += 1,
+            Answer::Bounced { .. } => {
+                tally.bounced += 1;
+                asker.client.bounced();
+            }
             Answer::WrittenOff => tally.written_off += 1,
         }
         asker.client.put(&jsonrpc::encode(asker.call, answer, self.rounds.said()));
@@ -75,6 +80,13 @@
         }
     }
 
+    /// The executor runs the job: its caller is what it says.
+    fn proved(&self, id: &JobId) {
+        if let Some(client) = self.hand.asker(id) {
+            client.prove();
+        }
+    }
+
     fn send(&self, command: &Command) {
         self.link.send(&encode(command));
     }
@@ -142,8 +154,12 @@
             let silent = at_call.as_ref().and_then(|at| at.made).map(|(_, silent)| silent);
             let Some(turn) = next(&turns, silent).await else { break 'in_hand };
             match turn {
-                Turn::Ended { end, lasted, body } => break (end, lasted, body),
+                Turn::Ended { end, lasted, body } => {
+                    parts.proved(&id);
+                    break (end, lasted, body);
+                }
                 Turn::AtCall { cursor, body } => {
+                    parts.proved(&id);
                     (last, at_call) = (None, Some(AtCall { cursor, body, made: None }));
                     parts.rounds.tell(Event::AtCall(id.clone()));
                 }
@@ -198,7 +214,15 @@
                     }
                 }
                 Turn::NotDone if matches!(last, Some(Last::Run)) => {
-                    tracing::warn!(%id, "the executor did not start a run");
+                    // It knows no such job: whoever asked has made it up.
+                    let mut tally = parts.tally.borrow_mut();
+                    tally.not_known += 1;
+                    if tally.not_known.is_power_of_two() {
+                        tracing::warn!(count = tally.not_known, "the executor did not start a run");
+                    }
+                    if let Some(client) = parts.hand.asker(&id) {
+                        client.misused();
+                    }
                     break (RunEnd::Gone, Span::ZERO, "".into());
                 }
                 Turn::RunsOver => {
--- a/crates/hazelgrade-server/src/routing/outcome.rs
+++ b/crates/hazelgrade-server/src/routing/outcome.rs
@@ -35,6 +35,8 @@
             ConnectionEnd::Closed
             | ConnectionEnd::CutShort
             | ConnectionEnd::Reset
+            | ConnectionEnd::Slow
+            | ConnectionEnd::Misused
             | ConnectionEnd::TooLong
             | ConnectionEnd::Unreadable
             | ConnectionEnd::Overrun
--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -231,7 +231,7 @@
     }
     let late = async {
         Timer::after(REPLY_WITHIN).await;
-        Err(ConnectionEnd::CutShort)
+        Err(ConnectionEnd::Slow)
     };
     or(whole, late).await
 }
--- a/crates/hazelgrade-server/src/transport/ending.rs
+++ b/crates/hazelgrade-server/src/transport/ending.rs
@@ -14,6 +14,10 @@
     Unreachable,
     /// It ended before any of what waited was handed to the system.
     Unsent,
+    /// A message, or the end of one, did not come in its time.
+    Slow,
+    /// The peer went on sending what is wrong.
+    Misused,
     /// A message was longer than any legal one.
     TooLong,
     /// Where the next message begins is lost.
--- a/crates/hazelgrade-server/src/transport/listener.rs
+++ b/crates/hazelgrade-server/src/transport/listener.rs
@@ -26,7 +26,7 @@
 ) {
     loop {
         while clients.count() >= clients.most {
-            clients.close_idlest();
+            clients.make_room();
             Timer::after(PAUSE).await;
         }
         match listener.accept().await {
@@ -37,7 +37,7 @@
             }
             Err(error) => {
                 tracing::debug!(%error, "a connection could not be accepted");
-                clients.close_idlest();
+                clients.make_room();
                 Timer::after(PAUSE).await;
             }
         }
--- a/crates/hazelgrade-server/src/transport/outbox.rs
+++ b/crates/hazelgrade-server/src/transport/outbox.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 pub struct Outbox {
     waiting: RefCell<Vec<u8>>,
@@ -18,6 +19,8 @@
     filled: Bell,
     emptied: Bell,
     overrun: Cell<bool>,
+    /// Since when the system has been taking what is written.
+    writing: Cell<Option<Instant>>,
 }
 
 impl Outbox {
@@ -29,6 +32,7 @@
             filled: Bell::default(),
             emptied: Bell::default(),
             overrun: Cell::new(false),
+            writing: Cell::new(None),
         }
     }
 
@@ -48,6 +52,11 @@
         self.unwritten.get()
     }
 
+    /// How long the peer has kept the last write from being done.
+    pub fn stuck_for(&self) -> Duration {
+        self.writing.get().map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     /// Waits until all that was put in has been handed to the system.
     pub async fn emptied(&self) {
         while self.unwritten() > 0 {
@@ -70,9 +79,11 @@
             self.filled.heard().await;
             while self.unwritten() > 0 && !self.overrun.get() {
                 let (bytes, count) = (self.waiting.take(), self.unwritten());
+                self.writing.set(Some(Instant::now()));
                 if let Err(error) = sink.write_all(&bytes).await {
                     return ConnectionEnd::of(&error);
                 }
+                self.writing.set(None);
                 self.unwritten.set(self.unwritten() - count);
             }
             self.emptied.ring();
--- a/crates/hazelgrade-wirehost/src/wire.rs
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -175,7 +175,19 @@
     let waits_until = (expires != 0.0).then(|| Time::from_ms(expires));
     let again = bits & 2 != 0;
     let work = (bits & 1 != 0).then(|| Span::from_ms(cost));
-    Ok(Job { id, use_case, customer, reached: now - lay, waits_until, work, held_kb, rank, again, repeats })
+    Ok(Job {
+        id,
+        use_case,
+        customer,
+        reached: now - lay,
+        waits_until,
+        work,
+        held_kb,
+        rank,
+        again,
+        repeats,
+        known: true,
+    })
 }
 
 /// Checks the form of all gauges and picks the part of the cores that is busy, where it is among them.
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -281,12 +281,13 @@
     pub fn arrived(&mut self, job: Job) {
         let (now, control) = (self.now, &mut *self.control);
         let Some(case) = control.use_cases.get(job.use_case) else { return };
-        control.unread.learn(now, now.since(job.reached));
-        control.tries.add(now, 1.0);
+        let counts = f64::from(u8::from(job.known)); // a stranger's may be made up, and are read late for it
+        job.known.then(|| control.unread.learn(now, now.since(job.reached)));
+        control.tries.add(now, counts);
         if job.again {
-            control.tries_again.add(now, 1.0);
+            control.tries_again.add(now, counts);
         } else if let Some((rate, _)) = control.quotas.get_mut(job.customer) {
-            rate.add(now, 1.0);
+            rate.add(now, counts);
         }
         let due = job.waits_until.unwrap_or(job.reached + case.cut_off);
         let stretched = job.work.map_or(Span::ZERO, |work| work * case.goal_per_work);
--- a/crates/hazelgrade/src/desk.rs
+++ b/crates/hazelgrade/src/desk.rs
@@ -27,6 +27,8 @@
     pub again: bool,
     /// The job that this one repeats.
     pub repeats: Option<JobId>,
+    /// Its caller has had a job run before: what it sends tells of the load.
+    pub known: bool,
 }
 
 /// May a job of a use case run again?
--- a/crates/hazelgrade/tests/common/mod.rs
+++ b/crates/hazelgrade/tests/common/mod.rs
@@ -119,6 +119,7 @@
         rank: 0.5,
         again: false,
         repeats: None,
+        known: true,
     }
 }
 
