A call takes 16 times the mean latency at most; missed notices and silent links are mended

A probe of what the module believes showed calls in hand grow from 7 to 26 with a mean latency of 20 ms: 24 calls that were never answered each held one of 32 permits until the cut-off. Line at fault: make_calls in control.rs, where only the job's own time bounded a call; and job.rs took a call as silent 200 ms past that. Ruled out: CPU (limits of 0.3 cores, 0.12 s used), the link, permits (they had grown to 32), unread time (4 ms).

Changed: - A call takes 16 times the learned mean at most, and 0.15 of the shortest goal time at least. Silence is taken as such 25 ms past that, and the connection takes no more calls. Guards against all that swallows replies. Could hurt where one call in some thousands honestly takes that long: it is made again, or left out. - A notice that can't be read, or one whose number shows that others were missed, is asked for again once by a new link (notices.rs dropped it, and its job held its place for good). A link that is asked and says nothing for 2 s is replaced. - Kept results take an eighth of limits.memory_mb, no longer a fixed 24 MiB, which with 32 MB would have been too much. - Marks of jobs that may run again are not kept. When a notice to leave came while the process stood still is remembered past the first task that runs then.

--- a/crates/hazelgrade-server/src/program/configuration.rs
+++ b/crates/hazelgrade-server/src/program/configuration.rs
@@ -9,6 +9,8 @@
 /// Descriptors kept back for all that is not a client: log, links, registry, signals, the event queue, a file that
 /// is read again, one connection that was just accepted; and the connections below.
 const DESCRIPTORS_KEPT: usize = 16;
+/// Of the memory, kept results take this part at most; the rest is for jobs in hand and connections.
+const RESULTS_PART: f64 = 0.125;
 /// With few descriptors, clients get at least this part of them.
 const CLIENTS_PART: usize = 4;
 
@@ -30,6 +32,8 @@
     pub stop: Duration,
     /// Client connections that may be open at once.
     pub connections: usize,
+    /// What kept results of numbered jobs may take.
+    pub result_bytes: usize,
     pub settings: Value,
     pub fixed: Fixed,
 }
@@ -105,6 +109,13 @@
     if sockets == 0 {
         return Err(wrong("limits.sockets", "a whole number from 32 up"));
     }
+    let memory_mb = match value.get("limits").and_then(|limits| limits.get("memory_mb")) {
+        None | Some(Value::Null) => 192.0,
+        Some(memory) => memory.as_f64().filter(|mb| (1.0..1e6).contains(mb)).unwrap_or_default(),
+    };
+    if memory_mb == 0.0 {
+        return Err(wrong("limits.memory_mb", "a number from 1 up"));
+    }
     let (listen, addresses, fixed) =
         (address(&value, "listen")?, Addresses::decode(&value)?, Fixed::of(&value));
     Ok(Deployment {
@@ -115,6 +126,7 @@
         seed: seed.ok_or_else(|| wrong("seed", "16 hex digits"))?,
         stop: Duration::from_secs_f64(stop.ok_or_else(|| wrong("stop_ms", "milliseconds"))? / 1000.0),
         connections: (sockets.saturating_sub(DESCRIPTORS_KEPT + database::MOST)).max(sockets / CLIENTS_PART),
+        result_bytes: (memory_mb * RESULTS_PART * 1024.0 * 1024.0) as usize,
         settings: value.get_mut("settings").map(Value::take).ok_or_else(|| wrong("settings", "an object"))?,
     })
 }
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -47,7 +47,7 @@
     let registry = Rc::new(registry);
     tracing::info!(name = deployment.name, listen = %deployment.listen, "started");
 
-    let (hand, repeats) = (Rc::new(Hand::default()), Rc::new(Repeats::default()));
+    let (hand, repeats) = (Rc::new(Hand::default()), Rc::new(Repeats::new(deployment.result_bytes)));
     let tasks = Rc::new(LocalExecutor::new());
     let link = Rc::new(Link::new(addresses.executor));
     let rounds = Rc::new(Rounds::new(control, site.tick, hand.clone(), repeats.clone(), link.clone()));
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -7,7 +7,7 @@
 use crate::transport::ending::ConnectionEnd;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use hazelgrade::desk::JobId;
+use hazelgrade::desk::{JobId, Repeats};
 use hazelgrade::time::Span;
 use hazelgrade_site::Site;
 use std::cell::Cell;
@@ -96,7 +96,8 @@
             return self.refuse(client, &jsonrpc::wrong_time(call));
         }
         client.open(call, id.clone());
-        let key = asked.mark.take().map(|mark| (asked.job.use_case, mark));
+        let numbered = self.site.use_cases[asked.job.use_case].repeats != Repeats::Reissuable;
+        let key = asked.mark.take().filter(|_| numbered).map(|mark| (asked.job.use_case, mark));
         asked.job.reached = reached;
         asked.job.known = client.is_proved();
         asked.job.repeats = key.and_then(|key| parts.repeats.arrived(&id, key, asked.job.reached));
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -18,8 +18,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A call is taken as silent this long after the time that the database was given for it.
-const SILENT_AFTER: Duration = Duration::from_millis(200);
+/// A call is taken as silent this long after the time that the database was given for it: it says itself when that
+/// is over, and what it says takes a few milliseconds.
+const SILENT_AFTER: Duration = Duration::from_millis(25);
 
 /// What lies in the sockets when the time is over is read within this.
 const UNREAD: Duration = Duration::from_millis(5);
--- a/crates/hazelgrade-server/src/routing/notices.rs
+++ b/crates/hazelgrade-server/src/routing/notices.rs
@@ -32,6 +32,8 @@
     /// Since when commands may have been lost, once a link has ended.
     unproved: Cell<Option<Instant>>,
     unreadable: Cell<u64>,
+    /// Up to which notice all was heard when the one after it was last asked for again.
+    asked_again: Cell<Option<u64>>,
 }
 
 impl Notices {
@@ -47,6 +49,7 @@
             up: Cell::new(None),
             unproved: Cell::new(None),
             unreadable: Cell::new(0),
+            asked_again: Cell::new(None),
         }
     }
 
@@ -55,11 +58,20 @@
         self.link.keep(tasks, executor::LONGEST_LINE, self).await;
     }
 
-    /// `false` for a notice that was heard on an earlier link.
-    fn is_new(&self, cursor: u64) -> bool {
+    /// `false` for a notice that was heard before. One whose number shows that others were missed ends the link, as
+    /// does one that can't be read: the new link tells all from there. It is asked once, then it goes on without.
+    fn is_new(&self, cursor: u64) -> Result<bool, ConnectionEnd> {
+        if cursor > self.heard.get() + 1 {
+            self.ask_again()?;
+        }
         let new = cursor > self.heard.get();
         self.heard.set(self.heard.get().max(cursor));
-        new
+        Ok(new)
+    }
+
+    fn ask_again(&self) -> Result<(), ConnectionEnd> {
+        let heard = Some(self.heard.get());
+        if self.asked_again.replace(heard) == heard { Ok(()) } else { Err(ConnectionEnd::Unreadable) }
     }
 
     fn welcome(&self, fate: &str, up_for: Span) {
@@ -108,18 +120,21 @@
                 if self.unreadable.get().is_power_of_two() {
                     tracing::warn!(error, count = self.unreadable.get(), "a notice can't be read");
                 }
-                return Ok(());
+                return self.ask_again();
             }
         };
         match notice {
             Notice::Welcome { fate, up_for } => self.welcome(&fate, up_for),
-            Notice::Ended { cursor, id, end, lasted, body } if self.is_new(cursor) => {
-                self.hand.send(&id, Turn::Ended { end, lasted, body });
+            Notice::Ended { cursor, id, end, lasted, body } => {
+                if self.is_new(cursor)? {
+                    self.hand.send(&id, Turn::Ended { end, lasted, body });
+                }
             }
-            Notice::AtCall { cursor, id, body } if self.is_new(cursor) => {
-                self.hand.send(&id, Turn::AtCall { cursor, body });
+            Notice::AtCall { cursor, id, body } => {
+                if self.is_new(cursor)? {
+                    self.hand.send(&id, Turn::AtCall { cursor, body });
+                }
             }
-            Notice::Ended { .. } | Notice::AtCall { .. } => {}
             Notice::Gauges { ticket, .. } if ticket == ALL_HEARD => {
                 if let Some(from) = self.unproved.take() {
                     self.hand.send_all(|| Turn::Relinked(from, self.joined.get()));
@@ -140,12 +155,12 @@
                 }
             }
             Notice::Remark { cursor, text } => {
-                if self.is_new(cursor) {
+                if self.is_new(cursor)? {
                     tracing::debug!(text, "the executor remarks");
                 }
             }
             Notice::Unknown { event, cursor } => {
-                cursor.map(|cursor| self.is_new(cursor));
+                cursor.map(|cursor| self.is_new(cursor)).transpose()?;
                 tracing::debug!(event, "an unknown notice");
             }
         }
--- a/crates/hazelgrade-server/src/routing/repeats.rs
+++ b/crates/hazelgrade-server/src/routing/repeats.rs
@@ -10,9 +10,6 @@
 /// Use case and mark.
 type Key = (usize, String);
 
-/// Results that are kept take this many bytes at most; past it, the one that runs out first goes.
-const RESULT_BYTES: usize = 24 * 1024 * 1024;
-
 struct Entry {
     holder: JobId,
     until: Time,
@@ -33,9 +30,10 @@
     entries: BTreeMap<Key, Entry>,
     jobs: BTreeMap<JobId, Marked>,
     result_bytes: usize,
+    /// Results that are kept take this many bytes at most; past it, the one that runs out first goes.
+    most_bytes: usize,
 }
 
-#[derive(Default)]
 pub struct Repeats(RefCell<Table>);
 
 impl Table {
@@ -51,6 +49,10 @@
 }
 
 impl Repeats {
+    pub fn new(most_bytes: usize) -> Repeats {
+        Repeats(RefCell::new(Table { most_bytes, ..Table::default() }))
+    }
+
     /// A job with a mark arrives: gives the one that it repeats, if that is known.
     pub fn arrived(&self, id: &JobId, key: Key, reached: Time) -> Option<JobId> {
         let mut table = self.0.borrow_mut();
@@ -108,7 +110,7 @@
             table.jobs.iter().filter(|(_, job)| over(job)).map(|(id, _)| id.clone()).collect()
         };
         over.iter().for_each(|id| table.forget(id));
-        while table.result_bytes > RESULT_BYTES {
+        while table.result_bytes > table.most_bytes {
             let kept = table.jobs.iter().filter(|(_, job)| matches!(job.result, Some(Some(_))));
             let Some(first) = kept.min_by_key(|(_, job)| job.kept_until).map(|(id, _)| id.clone()) else {
                 break;
--- a/crates/hazelgrade-server/src/routing/rounds.rs
+++ b/crates/hazelgrade-server/src/routing/rounds.rs
@@ -20,6 +20,10 @@
 
 /// How long the gauges may take; a timer that is due goes on without them then.
 const GAUGES_WITHIN: Duration = Duration::from_millis(25);
+/// Reports to the registry show four times a second that the process runs: after a longer gap it stood still.
+const GAP: f64 = 300.0;
+/// What came while it stood still is taken up within this; the order in which tasks run then is chance.
+const AFTER_GAP: f64 = 50.0;
 /// Timers that may be set at once; the module needs the soonest only.
 const TIMERS: usize = 256;
 
@@ -49,6 +53,8 @@
     proved: Cell<Instant>,
     /// When the process was last seen to run.
     alive: Cell<Time>,
+    /// From when to when it last stood still.
+    still: Cell<(Time, Time)>,
     said: Cell<Option<f64>>,
     good: Cell<bool>,
     health_changed: Bell,
@@ -65,6 +71,7 @@
         Rounds {
             control: RefCell::new(control),
             alive: Cell::new(clock.now()),
+            still: Cell::new((clock.now(), Time::from_ms(0.0))),
             clock,
             tick: Duration::from_secs_f64(tick.as_ms() / 1000.0),
             events: RefCell::default(),
@@ -108,9 +115,15 @@
         self.health_changed.heard().await;
     }
 
-    /// The process runs now; gives when it was last seen to.
+    /// The process runs now; gives when it was last seen to, before it stood still if that is just over.
     pub fn alive(&self) -> Time {
-        self.alive.replace(self.clock.now())
+        let now = self.clock.now();
+        let before = self.alive.replace(now);
+        if now.since(before) > Span::from_ms(GAP) {
+            self.still.set((before, now));
+        }
+        let (from, to) = self.still.get();
+        if now.since(to) < Span::from_ms(AFTER_GAP) { from } else { before }
     }
 
     /// All that was sent to the executor before this has reached it.
--- a/crates/hazelgrade-server/src/transport/executor.rs
+++ b/crates/hazelgrade-server/src/transport/executor.rs
@@ -12,7 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const OUTBOX_BYTES: usize = 4 * 1024 * 1024;
 const AGAIN_AFTER: Duration = Duration::from_millis(20);
@@ -20,6 +20,10 @@
 /// after this long: it stays open for longer.
 const PART_WITHIN: Duration = Duration::from_millis(200);
 
+/// A link that has been up and is asked, but says nothing for so long, is broken without a word: a new one replaces
+/// it, and the runs go on.
+const SILENT_FOR: Duration = Duration::from_secs(2);
+
 /// What is said and heard on the link.
 pub trait LinkEnds {
     /// The first line on each new one.
@@ -36,6 +40,8 @@
     outbox: RefCell<Option<Rc<Outbox>>>,
     moved: Bell,
     parted: Bell,
+    /// Since when something that was sent has waited for any word, on a link that is up.
+    unanswered: Cell<Option<Instant>>,
 }
 
 impl Link {
@@ -45,6 +51,7 @@
             outbox: RefCell::default(),
             moved: Bell::default(),
             parted: Bell::default(),
+            unanswered: Cell::new(None),
         }
     }
 
@@ -64,6 +71,7 @@
     pub fn send(&self, line: &str) {
         if let Some(outbox) = &*self.outbox.borrow() {
             outbox.put(line.as_bytes());
+            self.unanswered.set(Some(self.unanswered.get().unwrap_or_else(Instant::now)));
         }
     }
 
@@ -94,12 +102,15 @@
         let outbox = Rc::new(Outbox::new(OUTBOX_BYTES));
         outbox.put(ends.hello().as_bytes());
         *self.outbox.borrow_mut() = Some(outbox.clone());
+        let up = Cell::new(false);
         let read = async {
             let (mut source, mut line) = (BufReader::new(&*stream), Vec::new());
             loop {
                 if let Err(end) = read_line(&mut source, &mut line, longest).await {
                     break end;
                 }
+                up.set(true);
+                self.unanswered.set(None);
                 if let Err(end) = ends.line(&line) {
                     break end;
                 }
@@ -118,6 +129,14 @@
             or(self.parted.heard(), late).await;
             ConnectionEnd::Moved
         };
-        or(or(read, moved), outbox.clone().writer(tasks, stream.clone())).await
+        let silent = async {
+            loop {
+                Timer::after(SILENT_FOR / 4).await;
+                if up.get() && self.unanswered.get().is_some_and(|since| since.elapsed() >= SILENT_FOR) {
+                    break ConnectionEnd::Slow;
+                }
+            }
+        };
+        or(or(or(read, moved), silent), outbox.clone().writer(tasks, stream.clone())).await
     }
 }
--- a/crates/hazelgrade-server/tests/instance/input.rs
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -4,6 +4,7 @@
 use hazelgrade::time::{Span, Time};
 use hazelgrade_server::protocol;
 use hazelgrade_server::routing::clock::Clock;
+use hazelgrade_server::routing::repeats::Repeats;
 use hazelgrade_server::transport::database::{Database, Hears};
 use hazelgrade_server::transport::ending::ConnectionEnd;
 use serde_json::{Value, json};
@@ -275,6 +276,19 @@
     assert_eq!(*heard.0.borrow(), ["reply on 1", "1: Idle", "4: Unreachable"]);
 }
 
+#[test]
+fn kept_results_stay_within_their_part_of_the_memory_and_the_one_that_runs_out_first_goes() {
+    let (now, repeats) = (Time::from_ms(0.0), Repeats::new(10));
+    for (place, id) in ["a1", "a2"].into_iter().enumerate() {
+        let id = id.into();
+        repeats.arrived(&id, (0, place.to_string()), now);
+        repeats.remember(&id, now, Span::from_ms(1000.0 + place as f64));
+        repeats.done(&id, now, Some("12345678".into()));
+    }
+    assert_eq!(repeats.share(&"b1".into(), &"a1".into()), Some(None));
+    assert_eq!(repeats.share(&"b2".into(), &"a2".into()), Some(Some("12345678".into())));
+}
+
 #[test]
 fn a_clock_that_is_set_back_does_not_run_backwards_and_moves_what_is_stamped_along() {
     thread_local!(static UNIX: Cell<f64> = const { Cell::new(1000.0) });
@@ -320,6 +334,7 @@
         (with("executor", Value::Null), "executor"),
         (with("seed", json!("xyz")), "seed"),
         (with("limits", json!({"sockets": 3})), "limits.sockets"),
+        (with("limits", json!({"memory_mb": -1})), "limits.memory_mb"),
         (with("settings", json!([])), "settings"),
         (with("settings", json!({"specifics": {"halt": "sometimes"}})), "halt"),
         (whole.clone(), "listen"),
--- a/crates/hazelgrade-server/tests/instance/serving.rs
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -125,14 +125,39 @@
 }
 
 #[test]
-fn lines_of_the_executor_that_cannot_be_read_change_nothing() {
+fn notices_that_cannot_be_read_or_were_missed_are_asked_for_again_once() {
     let instance = Instance::start();
     let (mut link, mut client) = instance.ready();
     run_job(&mut link, &mut client, 1, "read", "a1");
+    let joined_from = |from: u64| {
+        let (mut link, cursor) = instance.link();
+        assert_eq!(cursor, from);
+        link.say(&json!({"event": "WELCOME", "fate": "old", "lasted": 5}));
+        link
+    };
+    link.write("what\n");
+    let mut link = joined_from(0);
+    // It can't be read now either: then it goes on without.
     link.write("what\n{}\n{\"event\":\"EXIT\",\"cursor\":1}\n{\"event\":\"NEWS\",\"cursor\":1}\n");
     link.say(&ended(2, "nobody", "good", ""));
     link.say(&json!({"event": "BAD", "fate": "KILL", "handle": "a1"}));
-    link.say(&ended(3, "a1", "good", "b25l"));
+    // One was missed: all after the second are told again.
+    link.say(&at_call(4, "a1"));
+    let mut link = joined_from(2);
+    link.say(&json!({"event": "LOG", "cursor": 3, "fate": "news"}));
+    link.say(&ended(4, "a1", "good", "b25l"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+}
+
+#[test]
+fn a_link_that_is_asked_and_stays_silent_is_replaced() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    run_job(&mut link, &mut client, 1, "read", "a1");
+    let (mut next, cursor) = instance.link();
+    assert_eq!(cursor, 0);
+    next.say(&json!({"event": "WELCOME", "fate": "old", "lasted": 2500}));
+    next.say(&ended(1, "a1", "good", "b25l"));
     assert_eq!(client.hear()["result"]["body"], "b25l");
 }
 
@@ -150,7 +175,7 @@
     let mut instance = Instance::start();
     let (mut link, mut client) = instance.ready();
     run_job(&mut link, &mut client, 1, "read", "a1");
-    link.say(&at_call(7, "a1"));
+    link.say(&at_call(1, "a1"));
     let mut below = Below::of(&instance.database);
     below.call("a1");
     below.peers.clear();
@@ -159,7 +184,7 @@
     let mut peers = std::mem::take(&mut below.peers);
     instance.database = std::net::TcpListener::bind(free_address()).expect("a port");
     peers[place].write("a1 WHAT\r\n");
-    assert_eq!(link.command(), json!({"event": "BYPASS", "handle": "a1", "cursor": 7}));
+    assert_eq!(link.command(), json!({"event": "BYPASS", "handle": "a1", "cursor": 1}));
 }
 
 #[test]
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -28,6 +28,7 @@
 const CALLS_CROWDED: f64 = 4.0;
 /// Times the mean core time that a job keeps to finish, once calls take twice their best: a whole run's, so ample.
 const FINISH_PART: f64 = 1.0;
+const CALL_PATIENCE: f64 = 16.0; // times the mean latency: what takes longer never comes, and holds a permit
 /// Part of the mean latency that must be left for a call to be tried that may be left out: less is in vain.
 const LEAST_TRY: f64 = 0.5;
 /// What is learned fades over this many of the shortest goal times: some dozens of jobs, some seconds.
@@ -110,8 +111,7 @@
     /// Calls a second that leave what lies below: from the time that calls take, not from counts over the
     /// clock, so that a pause of the process or idleness doesn't shrink it.
     fn drain(&mut self, now: Time) -> Option<f64> {
-        let latency = self.latency.mean(now)?;
-        Some(self.permits * 1000.0 / latency.as_ms().max(0.001))
+        self.latency.mean(now).map(|mean| self.permits * 1000.0 / mean.as_ms().max(0.001))
     }
 
     /// The wait budget; as depth over drain rate it is the retry-after too.
@@ -521,9 +521,8 @@
         let blind = self.jobs.get(id).is_some_and(|held| self.blind(held));
         let Some(held) = self.jobs.get_mut(id).filter(|held| !held.answered) else { return };
         held.answered = true;
-        let repeats = self.use_cases[held.job.use_case].repeats;
         let may_have_run = held.ran || held.job.repeats.is_some() || blind;
-        let may_bounce = repeats == Repeats::Reissuable || !may_have_run;
+        let may_bounce = self.use_cases[held.job.use_case].repeats == Repeats::Reissuable || !may_have_run;
         if let Some(back_in) = back.filter(|_| may_bounce) {
             let not_elsewhere = !elsewhere || held.job.again || self.crowded(now, 0.1);
             self.tries_again.add(now, if self.callers.mark_again { 0.0 } else { 0.25 });
@@ -638,10 +637,11 @@
                 continue;
             }
             let until = self.call_until(now, &id).since(now);
+            let patience = self.gate.latency.mean(now).map_or(until, |mean| mean * CALL_PATIENCE);
             let within = self.gate.part_left().map_or(until, |left| until.min(left));
             self.enter(now, &id, Stage::Calling);
             self.gate.in_hand += 1;
-            out.call(&id, within.max(self.machine.tick));
+            out.call(&id, within.min(patience.max(self.shortest_goal * WAIT_PART)).max(self.machine.tick));
         }
     }
 
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -168,7 +168,7 @@
     let mut control = setup.control();
     for step in 0..40 {
         let (id, start) = (format!("t{step}"), 400.0 * f64::from(step));
-        let took = if step < 20 { 20.0 } else { 60.0 };
+        let took = if step < 20 { 60.0 } else { 180.0 };
         round(&mut control, at(start), |inflow| inflow.arrived(job(&id, at(start))));
         round(&mut control, at(start + 100.0), |inflow| inflow.at_call(&id.as_str().into()));
         round(&mut control, at(start + 100.0 + took), |inflow| {
@@ -202,6 +202,27 @@
     assert!(acts.contains(&Act::Skip("none".into())) && made(&acts).is_empty(), "{acts:?}");
 }
 
+/// Found on sockets: calls that were never answered held their permits until the cut-off, and after 25 of them calls
+/// queued by the hundred while what lies below was idle.
+#[test]
+fn a_call_takes_no_longer_than_some_times_the_mean() {
+    let mut control = setup().control();
+    let within =
+        |acts: &[Act]| acts.iter().find_map(|act| if let Act::Call(_, w) = act { Some(*w) } else { None });
+    assert!(within(&at_calls(&mut control, 0.0, 0, 1)).is_some_and(|within| within > ms(1900.0)));
+    call_done(&mut control, "c0", 50.0);
+    assert_eq!(within(&at_calls(&mut control, 100.0, 1, 1)), Some(ms(800.0)));
+    // However fast calls are, they get a part of the goal time.
+    call_done(&mut control, "c1", 101.0);
+    (2..40).for_each(|number| {
+        at_calls(&mut control, 200.0, number, 1);
+        let id: JobId = format!("c{number}").as_str().into();
+        round(&mut control, at(201.0), |inflow| inflow.call_ended(&id, Outcome::Completed, ms(1.0)));
+        round(&mut control, at(201.0), |inflow| inflow.run_ended(&id, Outcome::Completed, ms(2.0)));
+    });
+    assert_eq!(within(&at_calls(&mut control, 300.0, 90, 1)), Some(ms(300.0)));
+}
+
 /// Found: while jobs lay unread for seconds, as many ran as ever and kept the cores from reading.
 #[test]
 fn fewer_run_while_jobs_wait_unread() {
