--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -34,7 +34,7 @@
 /// What is learned fades over this many of the shortest goal times: some dozens of jobs, some seconds.
 const MEMORY_IN_GOALS: f64 = 2.0;
 /// Part of the shortest goal time that jobs may wait on average before surplus is kept away.
-const WAIT_PART: f64 = 0.1;
+const WAIT_PART: f64 = 0.15;
 /// Part of the mean goal time that jobs may wait unread before fewer run.
 const UNREAD_PART: f64 = 0.07;
 /// Part of its goal time that a job may wait in the hold: one that would wait longer is better off elsewhere.
