--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -346,7 +346,7 @@
         let (now, control) = (self.now, &mut *self.control);
         let Some(held) = control.jobs.get_mut(id).filter(|held| held.stage == Stage::Calling) else { return };
         control.gate.over(now, took, outcome == Outcome::Overdue);
-        if !outcome.never_ran() {
+        if !outcome.never_ran() && outcome != Outcome::Severed {
             control.gate.latency.learn(now, took);
             control.gate.tune(now);
         }
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -223,6 +223,17 @@
     assert_eq!(within(&at_calls(&mut control, 300.0, 90, 1)), Some(ms(300.0)));
 }
 
+/// Found by reading: a call on a connection that the other side had forgotten ends at once, and was learned as fast.
+#[test]
+fn a_severed_call_tells_nothing_of_the_latency() {
+    let mut control = setup().control();
+    at_calls(&mut control, 0.0, 0, 2);
+    call_done(&mut control, "c0", 100.0);
+    round(&mut control, at(100.0), |inflow| inflow.call_ended(&"c1".into(), Outcome::Severed, ms(1.0)));
+    let acts = at_calls(&mut control, 100.0, 5, 1);
+    assert!(acts.contains(&Act::Call("c5".into(), ms(1600.0))), "{acts:?}");
+}
+
 /// Found: while jobs lay unread for seconds, as many ran as ever and kept the cores from reading.
 #[test]
 fn fewer_run_while_jobs_wait_unread() {
