--- /dev/null
+++ b/crates/hazelgrade-config/src/fields.rs
@@ -0,0 +1,309 @@
+//! What fields there are: the one table. A document is a map from paths to plain values; the digest, differences and
+//! checks of type and range follow from it.
+
+use crate::version::Digest;
+use serde_json::{Map, Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// When a field takes effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Takes {
+    /// Between two rounds, while jobs are in hand.
+    Live,
+    /// When the program starts the next time; until then it is staged.
+    AtStart,
+}
+
+/// A plain value.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Scalar {
+    Truth(bool),
+    Number(f64),
+    Word(String),
+}
+
+impl Scalar {
+    fn to_json(&self) -> Value {
+        match self {
+            Scalar::Truth(truth) => json!(truth),
+            Scalar::Number(number) => json!(number),
+            Scalar::Word(word) => json!(word),
+        }
+    }
+
+    fn of_json(value: &Value) -> Option<Scalar> {
+        match value {
+            Value::Bool(truth) => Some(Scalar::Truth(*truth)),
+            Value::Number(number) => number.as_f64().map(Scalar::Number),
+            Value::String(word) => Some(Scalar::Word(word.clone())),
+            _ => None,
+        }
+    }
+
+    /// The one way in which a value is written: 60 and 60.0 are the same.
+    fn canonical(&self) -> String {
+        match self {
+            Scalar::Truth(truth) => format!("t{truth}"),
+            Scalar::Number(number) => format!("n{}", if *number == 0.0 { 0.0 } else { *number }),
+            Scalar::Word(word) => format!("w{word}"),
+        }
+    }
+}
+
+/// What a field may hold.
+#[derive(Clone, Copy, Debug)]
+pub enum Holds {
+    Truth,
+    /// A number in this range, both ends included.
+    Number(f64, f64),
+    Whole(f64, f64),
+    Word(&'static [&'static str]),
+    Address,
+}
+
+impl Holds {
+    /// What was expected, if the value is not that.
+    pub fn misfit(&self, value: &Scalar) -> Option<String> {
+        let fits = match (self, value) {
+            (Holds::Truth, Scalar::Truth(_)) => true,
+            (Holds::Number(least, most), Scalar::Number(number)) => (*least..=*most).contains(number),
+            (Holds::Whole(least, most), Scalar::Number(number)) => {
+                (*least..=*most).contains(number) && number.fract() == 0.0
+            }
+            (Holds::Word(words), Scalar::Word(word)) => words.contains(&word.as_str()),
+            (Holds::Address, Scalar::Word(word)) => word.parse::<SocketAddr>().is_ok(),
+            _ => false,
+        };
+        (!fits).then(|| match self {
+            Holds::Truth => "expected true or false".into(),
+            Holds::Number(least, most) => format!("expected a number from {least} to {most}"),
+            Holds::Whole(least, most) => format!("expected a whole number from {least} to {most}"),
+            Holds::Word(words) => format!("expected one of {}", words.join(", ")),
+            Holds::Address => "expected an address like 127.0.0.1:9090".into(),
+        })
+    }
+}
+
+/// One line of the table. In `path`, `*` stands for the name of a use case, a customer or a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    pub path: &'static str,
+    pub holds: Holds,
+    pub takes: Takes,
+    pub needed: bool,
+}
+
+const fn field(path: &'static str, holds: Holds, takes: Takes) -> Field {
+    Field { path, holds, takes, needed: false }
+}
+
+const fn needed(path: &'static str, holds: Holds) -> Field {
+    Field { path, holds, takes: Takes::Live, needed: true }
+}
+
+use Holds::{Address, Number, Truth, Whole, Word};
+use Takes::{AtStart, Live};
+
+/// Times up to a day: longer ones are slips of units.
+const DAY_MS: f64 = 86_400_000.0;
+
+pub const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+pub const REPEATS: [&str; 3] = ["reissuable", "numbered", "at-most-once"];
+
+pub const FIELDS: [Field; 25] = [
+    field("log", Word(&LEVELS), Live),
+    field("addresses/executor", Address, Live),
+    field("addresses/registry", Address, Live),
+    field("addresses/database", Address, Live),
+    field("node/*/executor", Address, Live),
+    field("node/*/registry", Address, Live),
+    field("node/*/database", Address, Live),
+    field("limits/sockets", Whole(32.0, 1e6), AtStart),
+    field("limits/memory_mb", Number(1.0, 1e6), AtStart),
+    field("promises/answer_slack_ms", Number(0.0, DAY_MS), Live),
+    field("promises/cold_from", Number(0.001, 1.0), Live),
+    field("promises/warm_up_ms", Number(0.0, DAY_MS), Live),
+    field("promises/drain_grace_ms", Number(0.0, DAY_MS), Live),
+    field("promises/crowd_per_core", Number(1.0, 1e6), Live),
+    needed("use_case/*/goal_ms", Number(0.001, DAY_MS)),
+    needed("use_case/*/cut_off_ms", Number(0.001, DAY_MS)),
+    field("use_case/*/goal_per_work", Number(0.0, 1e6), Live),
+    field("use_case/*/earnings", Number(0.0, 1e9), Live),
+    field("use_case/*/late_part", Number(0.0, 1.0), Live),
+    field("use_case/*/repeats", Word(&REPEATS), Live),
+    field("use_case/*/window_ms", Number(0.0, DAY_MS), Live),
+    field("use_case/*/calls", Truth, Live),
+    field("use_case/*/part_without_call", Number(0.0, 1.0), Live),
+    field("customer/*/quota_per_s", Number(0.0, 1e9), Live),
+    // Says that a customer exists, of which nothing else need be said.
+    field("customer/*/", Truth, Live),
+];
+
+/// The longest name of a use case, customer or node, in bytes.
+pub const LONGEST_NAME: usize = 64;
+
+pub fn is_name(name: &str) -> bool {
+    let fits = |byte: u8| byte.is_ascii_graphic() && byte != b'/';
+    (1..=LONGEST_NAME).contains(&name.len()) && name.bytes().all(fits)
+}
+
+/// The line of the table that a path belongs to.
+pub fn known(path: &str) -> Option<&'static Field> {
+    FIELDS.iter().find(|field| {
+        let (mut parts, mut of_table) = (path.split('/'), field.path.split('/'));
+        loop {
+            match (parts.next(), of_table.next()) {
+                (None, None) => return true,
+                (Some(part), Some("*")) if is_name(part) => {}
+                (Some(part), Some(same)) if part == same => {}
+                _ => return false,
+            }
+        }
+    })
+}
+
+/// A path as people read it.
+pub fn shown(path: &str) -> String {
+    path.trim_end_matches('/').replace('/', ".")
+}
+
+/// The fields of a document, in the order of their paths.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Fields(pub BTreeMap<String, Scalar>);
+
+/// What turns one document into another.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Difference {
+    pub set: BTreeMap<String, Scalar>,
+    pub gone: Vec<String>,
+}
+
+impl Fields {
+    pub fn get(&self, path: &str) -> Option<&Scalar> {
+        self.0.get(path)
+    }
+
+    pub fn number(&self, path: &str) -> Option<f64> {
+        match self.get(path) {
+            Some(Scalar::Number(number)) => Some(*number),
+            _ => None,
+        }
+    }
+
+    pub fn word(&self, path: &str) -> Option<&str> {
+        match self.get(path) {
+            Some(Scalar::Word(word)) => Some(word),
+            _ => None,
+        }
+    }
+
+    pub fn truth(&self, path: &str) -> Option<bool> {
+        match self.get(path) {
+            Some(Scalar::Truth(truth)) => Some(*truth),
+            _ => None,
+        }
+    }
+
+    /// The names under `use_case`, `customer` or `node`, in order.
+    pub fn names(&self, section: &str) -> Vec<&str> {
+        let from = format!("{section}/");
+        let under = self.0.range(from.clone()..).take_while(|(path, _)| path.starts_with(&from));
+        let mut names: Vec<&str> = under.filter_map(|(path, _)| path.split('/').nth(1)).collect();
+        // Names sort as parts of paths, where a name and one that goes on after it may be mixed.
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.0.iter().flat_map(|(path, value)| [path.clone(), value.canonical()]))
+    }
+
+    /// What has to be done to `self` for it to be `next`.
+    pub fn difference(&self, next: &Fields) -> Difference {
+        let set = next.0.iter().filter(|(path, value)| self.get(path) != Some(value));
+        let gone = self.0.keys().filter(|path| !next.0.contains_key(*path));
+        Difference {
+            set: set.map(|(path, value)| (path.clone(), value.clone())).collect(),
+            gone: gone.cloned().collect(),
+        }
+    }
+
+    /// The fields with a difference made; `None` if it takes away what is not there.
+    pub fn with(&self, difference: &Difference) -> Option<Fields> {
+        let mut fields = self.clone();
+        for path in &difference.gone {
+            fields.0.remove(path)?;
+        }
+        fields.0.extend(difference.set.iter().map(|(path, value)| (path.clone(), value.clone())));
+        Some(fields)
+    }
+
+    /// The fields as a document in TOML; reading it gives the same fields.
+    pub fn to_toml(&self) -> String {
+        let mut text = String::new();
+        let mut section = String::new();
+        // Fields of no section come first, as TOML wants it.
+        let plain = self.0.iter().filter(|(path, _)| !path.contains('/'));
+        for (path, value) in plain.chain(self.0.iter().filter(|(path, _)| path.contains('/'))) {
+            let (of, name) = path.rsplit_once('/').unwrap_or(("", path));
+            if of != section {
+                let quoted: Vec<String> = of.split('/').map(key).collect();
+                text.push_str(&format!("\n[{}]\n", quoted.join(".")));
+                section = of.to_owned();
+            }
+            match value {
+                _ if name.is_empty() => {}
+                Scalar::Truth(truth) => text.push_str(&format!("{name} = {truth}\n")),
+                Scalar::Number(number) => text.push_str(&format!("{name} = {}\n", written(*number))),
+                Scalar::Word(word) => text.push_str(&format!("{name} = {}\n", json!(word))),
+            }
+        }
+        text
+    }
+}
+
+fn key(part: &str) -> String {
+    let plain = part.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'-');
+    if plain { part.to_owned() } else { json!(part).to_string() }
+}
+
+fn written(number: f64) -> String {
+    if number.fract() == 0.0 && number.abs() < 1e15 { format!("{number:.0}") } else { format!("{number:?}") }
+}
+
+impl Difference {
+    /// How many fields it touches.
+    pub fn count(&self) -> usize {
+        self.set.len() + self.gone.len()
+    }
+
+    /// The fields that it touches, and what only a start takes in of them.
+    pub fn staged(&self) -> Vec<String> {
+        let touched = self.set.keys().chain(&self.gone);
+        let at_start = touched.filter(|path| known(path).is_some_and(|field| field.takes == Takes::AtStart));
+        at_start.map(|path| shown(path)).collect()
+    }
+
+    pub fn to_json(&self) -> Value {
+        let set: Map<String, Value> =
+            self.set.iter().map(|(path, value)| (path.clone(), value.to_json())).collect();
+        json!({"set": set, "gone": self.gone})
+    }
+
+    pub fn of_json(value: &Value) -> Result<Difference, String> {
+        let set = value.get("set").and_then(Value::as_object).ok_or("field set: expected an object")?;
+        let gone = value.get("gone").and_then(Value::as_array).ok_or("field gone: expected a list")?;
+        let mut difference = Difference::default();
+        for (path, value) in set {
+            let value = Scalar::of_json(value)
+                .ok_or_else(|| format!("field set.{}: expected a plain value", shown(path)))?;
+            difference.set.insert(path.clone(), value);
+        }
+        for path in gone {
+            difference.gone.push(path.as_str().ok_or("field gone: expected a list of paths")?.to_owned());
+        }
+        Ok(difference)
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-config/src/operator.rs
@@ -0,0 +1,155 @@
+//! The operator's own file: what of the program beyond the platform's side is switched on, and how. One table a part.
+
+use crate::fault::Fault;
+use crate::fields::{Holds, Scalar};
+use crate::read::{Found, Reading};
+use hazelgrade::time::Span;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Control services that a node may know.
+const MOST_CONTROLS: usize = 8;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// Streamed configuration; off without it.
+    pub stream: Option<Streamed>,
+}
+
+/// How a node takes its configuration from a control service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Streamed {
+    /// Where control services listen; one at a time is used.
+    pub control: Vec<SocketAddr>,
+    /// The file that keeps the last good version.
+    pub store: PathBuf,
+    /// What a node starts by that has kept nothing yet; without it such a node waits, not ready.
+    pub document: Option<PathBuf>,
+    /// Only versions of this lineage are taken; without it, of the first that is heard of.
+    pub lineage: Option<String>,
+    pub trial: Trial,
+}
+
+/// How a version is tried out before it counts as good.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Trial {
+    /// How long it serves on trial, and how long before it is compared with.
+    pub span: Span,
+    /// It fails if the part of jobs that were satisfied falls by more than this part of what it was before.
+    pub fall: f64,
+    /// Fewer jobs on either side prove nothing.
+    pub least_jobs: f64,
+}
+
+impl Default for Trial {
+    /// Ten seconds see a few of the longest goal times; a fall by a fifth is past what days differ by from one ten
+    /// seconds to the next; in fifty jobs, ten more failures are past chance.
+    fn default() -> Trial {
+        Trial { span: Span::from_ms(10_000.0), fall: 0.2, least_jobs: 50.0 }
+    }
+}
+
+struct Parts {
+    reading: Reading,
+    found: BTreeMap<String, (Found, usize)>,
+}
+
+impl Parts {
+    fn one(&mut self, path: &str, holds: Option<Holds>) -> Option<Scalar> {
+        let (found, at) = self.found.remove(path)?;
+        let Found::One(value) = found else {
+            self.reading.fault(at, path, "expected one value");
+            return None;
+        };
+        if let Some(expected) = holds.and_then(|holds| holds.misfit(&value)) {
+            self.reading.fault(at, path, expected);
+            return None;
+        }
+        Some(value)
+    }
+
+    fn number(&mut self, path: &str, holds: Holds) -> Option<f64> {
+        match self.one(path, Some(holds)) {
+            Some(Scalar::Number(number)) => Some(number),
+            _ => None,
+        }
+    }
+
+    fn word(&mut self, path: &str) -> Option<String> {
+        let at = self.found.get(path).map_or(0, |(_, at)| *at);
+        match self.one(path, None)? {
+            Scalar::Word(word) if !word.is_empty() => Some(word),
+            _ => {
+                self.reading.fault(at, path, "expected a word");
+                None
+            }
+        }
+    }
+
+    fn addresses(&mut self, path: &str) -> Vec<SocketAddr> {
+        let Some((found, at)) = self.found.remove(path) else {
+            self.reading.fault(0, path, "is missing");
+            return Vec::new();
+        };
+        let list = match found {
+            Found::Many(list) => list,
+            Found::One(one) => vec![one],
+            Found::Nothing => Vec::new(),
+        };
+        let parsed: Option<Vec<SocketAddr>> = list
+            .iter()
+            .map(|one| match one {
+                Scalar::Word(word) => word.parse().ok(),
+                _ => None,
+            })
+            .collect();
+        match parsed.filter(|list| (1..=MOST_CONTROLS).contains(&list.len())) {
+            Some(list) => list,
+            None => {
+                let expected = format!("expected 1 to {MOST_CONTROLS} addresses like \"127.0.0.1:7400\"");
+                self.reading.fault(at, path, expected);
+                Vec::new()
+            }
+        }
+    }
+}
+
+impl Operator {
+    /// Reads the operator's file; on failure gives all faults, each with its line.
+    pub fn read(text: &str, file: &str) -> Result<Operator, Vec<Fault>> {
+        let mut reading = Reading::of(text, file);
+        let found = std::mem::take(&mut reading.found);
+        let mut parts = Parts { reading, found };
+        let mut stream = None;
+        if parts.found.keys().any(|path| path.starts_with("stream/")) {
+            parts.found.remove("stream/");
+            parts.found.remove("stream/trial/");
+            let control = parts.addresses("stream/control");
+            let store = parts.word("stream/store");
+            if store.is_none() && !parts.reading.faults.iter().any(|fault| fault.field == "stream.store") {
+                parts.reading.fault(0, "stream/store", "is missing");
+            }
+            let document = parts.word("stream/document").map(PathBuf::from);
+            let lineage = parts.word("stream/lineage");
+            let usual = Trial::default();
+            let span = parts.number("stream/trial/span_ms", Holds::Number(100.0, 3_600_000.0));
+            let fall = parts.number("stream/trial/fall", Holds::Number(0.01, 1.0));
+            let least_jobs = parts.number("stream/trial/least_jobs", Holds::Whole(1.0, 1e6));
+            let trial = Trial {
+                span: span.map_or(usual.span, Span::from_ms),
+                fall: fall.unwrap_or(usual.fall),
+                least_jobs: least_jobs.unwrap_or(usual.least_jobs),
+            };
+            let store = PathBuf::from(store.unwrap_or_default());
+            stream = Some(Streamed { control, store, document, lineage, trial });
+        }
+        for (path, (_, at)) in std::mem::take(&mut parts.found) {
+            parts.reading.fault(at, &path, "there is no such field");
+        }
+        match parts.reading.faults {
+            faults if faults.is_empty() => Ok(Operator { stream }),
+            faults => Err(faults),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-config/tests/documents.rs
@@ -0,0 +1,199 @@
+//! Documents read, wrong in every way, compared, and written again.
+
+use hazelgrade_config::fields::{FIELDS, Holds, LEVELS, REPEATS};
+use hazelgrade_config::{Difference, Document, Fields, Operator, Scalar, Takes};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::path::PathBuf;
+
+const RIGHT: &str = "[use_case.a]\ngoal_ms = 10\ncut_off_ms = 20\n";
+
+/// The first fault of a text that must be wrong, as it is shown.
+fn fault(text: &str) -> String {
+    Document::read(text, "f.toml").expect_err("it is wrong")[0].to_string()
+}
+
+#[test]
+fn each_fault_names_file_line_column_and_field() {
+    let wrong = [
+        ("goal_ms", "f.toml:1:8"),
+        ("[use_case.a]\ngoal_ms = 10\n", "f.toml:2:1: field use_case.a.cut_off_ms: is missing"),
+        ("[use_case.a]\n", "f.toml:1:11: field use_case.a: expected at least goal_ms and cut_off_ms"),
+        (
+            "log = 5\n[use_case.a]\ngoal_ms = 1\ncut_off_ms = 2\n",
+            "f.toml:1:1: field log: expected one of off, error",
+        ),
+        (
+            "[use_case.a]\ngoal_ms = 30\ncut_off_ms = 20\n",
+            "f.toml:2:1: field use_case.a.goal_ms: expected the goal time",
+        ),
+        (
+            "[use_case.a]\ngoal_ms = -1\ncut_off_ms = 20\n",
+            "f.toml:2:1: field use_case.a.goal_ms: expected a number from",
+        ),
+        ("[use_case.a]\ngoal_ms = nan\ncut_off_ms = 20\n", "f.toml:2:1: field use_case.a.goal_ms: expected"),
+        (
+            "[use_case.a]\ngoal_ms = [1]\ncut_off_ms = 20\n",
+            "f.toml:2:1: field use_case.a.goal_ms: expected one value",
+        ),
+        (
+            "[use_case.a]\ngoal = 1\ngoal_ms = 10\ncut_off_ms = 20\n",
+            "f.toml:2:1: field use_case.a.goal: there is no such field",
+        ),
+        ("[use_case.a]\ngoal_ms = 10\ngoal_ms = 11\ncut_off_ms = 20\n", "f.toml:3:1: duplicate key"),
+        (
+            "[use_case.\"a/b\"]\ngoal_ms = 10\ncut_off_ms = 20\n",
+            "f.toml:1:11: field use_case: expected a name without '/'",
+        ),
+        (
+            "[use_case.a]\ngoal_ms = 1\ncut_off_ms = 2\n[use_cases.a]\ngoal_ms = 10\n",
+            "f.toml:5:1: field use_cases.a.goal_ms: there is no such field",
+        ),
+        ("[customer.a]\nquota_per_s = 1\n", "f.toml:1:1: field use_case: expected at least one use case"),
+        ("", "f.toml:1:1: field use_case: expected at least one use case"),
+    ];
+    for (text, expected) in wrong {
+        let shown = fault(text);
+        assert!(shown.starts_with(expected), "{text:?}: {shown}");
+    }
+    let with = |rest: &str| fault(&format!("{RIGHT}{rest}"));
+    assert!(with("earnings = 0\n").contains("expected at least one use case that earns something"));
+    assert!(with("repeats = \"numbered\"\n").contains("field use_case.a.window_ms: expected more than 0"));
+    assert!(with("[addresses]\nexecutor = \"localhost\"\n").contains("f.toml:5:1: field addresses.executor"));
+    assert!(with("[limits]\nsockets = 32.5\n").contains("field limits.sockets: expected a whole number"));
+    let long = format!("{RIGHT}# {}", "x".repeat(hazelgrade_config::LONGEST_DOCUMENT));
+    assert!(fault(&long).contains("bytes at most"));
+    let many: String =
+        (0..65).map(|case| format!("[use_case.c{case}]\ngoal_ms = 10\ncut_off_ms = 20\n")).collect();
+    assert!(fault(&many).contains("field use_case: expected 64 at most, not 65"));
+    let several = "log = 1\n[use_case.a]\ngoal_ms = 5\ncut_off_ms = 2\nwindow = 1\n";
+    assert_eq!(
+        Document::read(several, "f.toml").expect_err("wrong").len(),
+        3,
+        "all that is wrong, in one go"
+    );
+}
+
+/// Any fields that pass the checks.
+#[derive(Clone, Debug)]
+struct Right(Fields);
+
+impl Arbitrary for Right {
+    fn arbitrary(g: &mut Gen) -> Right {
+        let mut fields = Fields::default();
+        let names = ["a", "b-c", "d.e", "f\"g", "ü"].map(|name| name.replace('ü', "u"));
+        for (which, field) in FIELDS.iter().enumerate() {
+            for name in names.iter().take(if field.path.contains('*') { 1 + which % 5 } else { 1 }) {
+                if !field.needed && bool::arbitrary(g) {
+                    continue;
+                }
+                let part = f64::from(u16::arbitrary(g)) / 65536.0;
+                let value = match field.holds {
+                    Holds::Truth => Scalar::Truth(field.path.ends_with('/') || bool::arbitrary(g)),
+                    Holds::Number(least, most) => Scalar::Number(least + (most - least) * part),
+                    Holds::Whole(least, most) => Scalar::Number((least + (most - least) * part).floor()),
+                    Holds::Word(words) => Scalar::Word(words[u8::arbitrary(g) as usize % words.len()].into()),
+                    Holds::Address => Scalar::Word(format!("127.0.0.1:{}", 1 + u16::arbitrary(g) / 2)),
+                };
+                fields.0.insert(field.path.replace('*', name), value);
+            }
+        }
+        // What goes together is made to.
+        for name in &names {
+            let at = |field: &str| format!("use_case/{name}/{field}");
+            let of_case = fields.0.keys().any(|path| path.starts_with(&at("")));
+            if of_case {
+                let (goal, more) = (1.0 + f64::from(u16::arbitrary(g)), f64::from(u8::arbitrary(g)));
+                fields.0.insert(at("goal_ms"), Scalar::Number(goal));
+                fields.0.insert(at("cut_off_ms"), Scalar::Number(goal + more));
+                fields.0.insert(at("window_ms"), Scalar::Number(1.0 + more));
+                fields.0.insert(at("earnings"), Scalar::Number(1.0));
+            }
+            if fields.0.contains_key(&format!("customer/{name}/quota_per_s")) {
+                fields.0.insert(format!("customer/{name}/"), Scalar::Truth(true));
+            }
+        }
+        Right(fields)
+    }
+}
+
+#[test]
+fn a_document_written_and_read_is_the_same_and_so_is_one_that_a_difference_made() {
+    fn holds(Right(one): Right, Right(other): Right) -> bool {
+        let document = Document::of_fields(one.clone(), "one").expect("it is right");
+        let again = Document::read(&document.to_toml(), "again").expect("what it writes is right");
+        let difference = one.difference(&other);
+        let on_wire = Difference::of_json(&difference.to_json()).expect("it reads what it wrote");
+        again == document
+            && again.digest() == document.digest()
+            && on_wire == difference
+            && one.with(&on_wire).as_ref() == Some(&other)
+            && (one == other) == (one.digest() == other.digest())
+            && (one == other) == (difference.count() == 0)
+    }
+    QuickCheck::new().tests(300).quickcheck(holds as fn(Right, Right) -> bool);
+}
+
+#[test]
+fn the_digest_is_of_what_is_said_not_of_how() {
+    let one = Document::read(RIGHT, "one").expect("right");
+    let other = "# the same\n[use_case]\n[use_case.'a']\ncut_off_ms = 2e1\n  goal_ms = 10.0";
+    assert_eq!(Document::read(other, "other").expect("right").digest(), one.digest());
+    let more = Document::read(&format!("{RIGHT}earnings = 1\n"), "more").expect("right");
+    assert_ne!(more.digest(), one.digest(), "a value that is said is not one that is left open");
+    assert_eq!(one.fields().difference(more.fields()).count(), 1);
+    assert_eq!(
+        one.fields().with(&more.fields().difference(one.fields())),
+        None,
+        "it takes away what isn't there"
+    );
+}
+
+#[test]
+fn what_only_a_start_takes_in_is_known_field_by_field() {
+    let staged: Vec<&str> =
+        FIELDS.iter().filter(|field| field.takes == Takes::AtStart).map(|field| field.path).collect();
+    assert_eq!(staged, ["limits/sockets", "limits/memory_mb"]);
+    let one = Document::read(RIGHT, "one").expect("right");
+    let two = format!("log = \"debug\"\n{RIGHT}late_part = 0.5\n[limits]\nmemory_mb = 64\n");
+    let two = Document::read(&two, "two").expect("right");
+    assert_eq!(one.fields().difference(two.fields()).staged(), ["limits.memory_mb"]);
+    assert_eq!((LEVELS.len(), REPEATS.len()), (6, 3));
+}
+
+#[test]
+fn a_node_has_its_own_addresses_where_there_are_such() {
+    let text = format!(
+        "{RIGHT}[addresses]\nexecutor = \"127.0.0.1:1\"\nregistry = \"127.0.0.1:2\"\n[node.n1]\nexecutor = \"127.0.0.1:3\"\n"
+    );
+    let document = Document::read(&text, "two").expect("right");
+    let port = |address: Option<std::net::SocketAddr>| address.map(|address| address.port());
+    let (own, other) = (document.places("n1"), document.places("n2"));
+    assert_eq!((port(own.executor), port(own.registry), port(own.database)), (Some(3), Some(2), None));
+    assert_eq!(port(other.executor), Some(1));
+}
+
+#[test]
+fn the_operators_file_is_read_or_told_what_is_wrong() {
+    let text = "[stream]\ncontrol = [\"127.0.0.1:7400\", \"127.0.0.2:7400\"]\nstore = \"s\"\n[stream.trial]\nspan_ms = 500\n";
+    let stream = Operator::read(text, "o.toml").expect("right").stream.expect("switched on");
+    assert_eq!(
+        (stream.control.len(), stream.store, stream.trial.span.as_ms()),
+        (2, PathBuf::from("s"), 500.0)
+    );
+    assert_eq!(Operator::read("", "o.toml").expect("right").stream, None);
+    let shown = |text: &str| {
+        let faults = Operator::read(text, "o.toml").expect_err("it is wrong");
+        faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+    };
+    assert!(shown("[stream]\nstore = \"s\"\n").contains("field stream.control: is missing"));
+    assert!(shown("[stream]\ncontrol = \"127.0.0.1:1\"\n").contains("field stream.store: is missing"));
+    assert!(
+        shown("[streams]\nstore = \"s\"\n")
+            .contains("o.toml:2:1: field streams.store: there is no such field")
+    );
+    let trial = shown("[stream]\ncontrol = \"127.0.0.1:1\"\nstore = \"s\"\n[stream.trial]\nfall = 2\n");
+    assert!(
+        trial.contains("o.toml:5:1: field stream.trial.fall: expected a number from 0.01 to 1"),
+        "{trial}"
+    );
+}
--- a/crates/hazelgrade-server/src/transport/lines.rs
+++ b/crates/hazelgrade-net/src/lines.rs
@@ -1,6 +1,6 @@
 //! Lines and bodies of bounded length, read off a connection.
 
-use super::ending::ConnectionEnd;
+use crate::ending::ConnectionEnd;
 use futures_lite::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
 
 /// Reads the next line, its end included, into `line`; at most `most` bytes.
--- a/crates/hazelgrade-server/src/transport/outbox.rs
+++ b/crates/hazelgrade-net/src/outbox.rs
@@ -1,8 +1,8 @@
 //! What is waiting to be written to a connection: a bounded buffer that one writer empties, so that whoever
 //! puts something in never waits for the peer.
 
-use super::ending::ConnectionEnd;
 use crate::bell::Bell;
+use crate::ending::ConnectionEnd;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use futures_lite::io::{AsyncWrite, AsyncWriteExt};
--- a/crates/hazelgrade-server/src/lib.rs
+++ b/crates/hazelgrade-server/src/lib.rs
@@ -1,6 +1,5 @@
 //! The service instance: the module's decisions on real sockets. See `docs/architecture.md`.
 
-pub mod bell;
 pub mod program;
 pub mod protocol;
 pub mod routing;
--- a/crates/hazelgrade-server/src/program/command.rs
+++ b/crates/hazelgrade-server/src/program/command.rs
@@ -1,6 +1,10 @@
 //! The command line.
 
-use super::{configuration, logging, serve};
+use super::streaming::read_document;
+use super::{configuration, control, logging, serve};
+use hazelgrade_config::{Operator, fault};
+use hazelgrade_site::Site;
+use hazelgrade_stream::service::Setup;
 use pico_args::Arguments;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -10,13 +14,23 @@
 hazelgrade: decides what one service instance takes, runs and turns away
 
 usage:
-  hazelgrade serve [--config FILE] [--log LEVEL]   serve until SIGTERM; SIGHUP reads FILE again
-  hazelgrade check [--config FILE]                 say what is wrong with a configuration, or what it would do
+  hazelgrade serve [--config FILE] [--operator FILE] [--log LEVEL]
+                                     serve until SIGTERM; SIGHUP reads the configuration again
+  hazelgrade check [--config FILE] [--operator FILE] [--document FILE]
+                                     say what is wrong with these files, or what they would do
+  hazelgrade control --documents DIR --listen ADDRESS [--lineage NAME] [--admit RATE]
+                                     publish DIR/serving.toml to the nodes that follow
+  hazelgrade status --control ADDRESS
+                                     say who runs which version
   hazelgrade version
   hazelgrade help
 
-  --config FILE   the configuration; else the file that PROXY_CONFIG names
-  --log LEVEL     off, error, warn, info (the usual level), debug or trace
+  --config FILE     the configuration; else the file that PROXY_CONFIG names
+  --operator FILE   the operator's own file in TOML: what is switched on beyond the platform's side
+  --document FILE   a serving document, as a control service publishes it
+  --lineage NAME    whose versions these are; else as kept in DIR, or made up and kept there
+  --admit RATE      nodes that are taken on in a second (200 usually); others are told when to come back
+  --log LEVEL       off, error, warn, info (the usual level), debug or trace
 ";
 
 /// Wrong usage, a wrong configuration, or an address that can't be had.
@@ -42,17 +56,36 @@
     let word = word.ok_or_else(|| usage("a command is missing".into()))?;
     let mut path: Option<PathBuf> = None;
     let mut level = LevelFilter::INFO;
+    let mut files = Files::default();
+    let mut control = None;
+    let mut asked = None;
+    if word == "serve" || word == "check" {
+        let file = |error: pico_args::Error| usage(error.to_string());
+        files.operator = arguments.opt_value_from_str("--operator").map_err(file)?;
+    }
+    if word == "check" {
+        let named = arguments.opt_value_from_str("--document");
+        files.document = named.map_err(|error| usage(error.to_string()))?;
+    }
+    if word == "control" {
+        control = Some(setup(&mut arguments).map_err(|error| usage(error.to_string()))?);
+    }
+    if word == "status" {
+        let address = arguments.value_from_str("--control");
+        asked = Some(address.map_err(|error| usage(error.to_string()))?);
+    }
     if word == "serve" || word == "check" {
         let named = arguments.opt_value_from_str("--config").map_err(|error| usage(error.to_string()))?;
         path = named.or_else(|| std::env::var_os("PROXY_CONFIG").map(PathBuf::from));
     }
-    if word == "serve" {
+    if word == "serve" || word == "control" {
         let named = arguments.opt_value_from_str("--log").map_err(|error| usage(error.to_string()))?;
         level = named.unwrap_or(level);
     }
     if let Some(unknown) = arguments.finish().first() {
         return Err(usage(format!("unknown argument {}", unknown.to_string_lossy())));
     }
+    let configured_at = path.is_some();
     let configured = || {
         let path = path.ok_or("no configuration: neither --config nor PROXY_CONFIG is given")?;
         configuration::read(&path).map(|deployment| (deployment, path))
@@ -60,12 +93,17 @@
     match word.as_str() {
         "serve" => {
             let (deployment, path) = configured()?;
-            let log = logging::start(level);
-            let left_clean = serve::serve(deployment, path)?;
+            let operator = files.operator()?.unwrap_or_default();
+            let (log, handle) = logging::start(level);
+            let left_clean = serve::serve(deployment, path, operator.stream, (handle, level));
             drop(log);
-            Ok(if left_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+            Ok(if left_clean? { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
         "check" => {
+            files.check()?;
+            if files.any() && !configured_at {
+                return Ok(ExitCode::SUCCESS);
+            }
             let (deployment, _) = configured()?;
             let (_, site) = hazelgrade_site::instance(&deployment.settings, deployment.seed)
                 .map_err(|fault| format!("settings: {}", fault.0))?;
@@ -76,11 +114,11 @@
                 Some(database) => println!("calls below go to {database}"),
                 None => println!("no calls below"),
             }
-            println!("client connections: {} at most", deployment.connections);
+            println!("client connections: {} at most", deployment.connections());
             for case in &site.use_cases {
                 println!("use case {}: {:?}", case.name, case.repeats);
             }
-            println!("customers: {}", site.customers.join(", "));
+            println!("customers: {}", customers(&site));
             println!(
                 "a round every {} ms at most, {} ms to leave",
                 site.tick.as_ms(),
@@ -88,6 +126,18 @@
             );
             Ok(ExitCode::SUCCESS)
         }
+        "control" => {
+            let Some(setup) = control else { return Err(usage("a setup is missing".into())) };
+            let (log, _) = logging::start(level);
+            let served = control::serve(setup);
+            drop(log);
+            served.map(|()| ExitCode::SUCCESS)
+        }
+        "status" => {
+            let Some(address) = asked else { return Err(usage("an address is missing".into())) };
+            print!("{}", control::status(address)?);
+            Ok(ExitCode::SUCCESS)
+        }
         "version" => {
             println!("hazelgrade {}", env!("CARGO_PKG_VERSION"));
             Ok(ExitCode::SUCCESS)
@@ -99,3 +149,73 @@
         other => Err(usage(format!("unknown command {other}"))),
     }
 }
+
+fn customers(site: &Site) -> String {
+    let names: Vec<&str> = site.customers.iter().flatten().map(String::as_str).collect();
+    names.join(", ")
+}
+
+fn setup(arguments: &mut Arguments) -> Result<Setup, pico_args::Error> {
+    /// A fleet of a thousand is back within seconds, at a pace that one core publishes to with room.
+    const ADMITTED: f64 = 200.0;
+    let rate: f64 = arguments.opt_value_from_str("--admit")?.unwrap_or(ADMITTED);
+    Ok(Setup {
+        documents: arguments.value_from_str("--documents")?,
+        listen: arguments.value_from_str("--listen")?,
+        lineage: arguments.opt_value_from_str("--lineage")?,
+        admitted: (rate, rate / 4.0),
+    })
+}
+
+/// Files beside the configuration.
+#[derive(Default)]
+struct Files {
+    operator: Option<PathBuf>,
+    document: Option<PathBuf>,
+}
+
+/// Faults that are shown of a file.
+const FAULTS_SHOWN: usize = 20;
+
+impl Files {
+    fn any(&self) -> bool {
+        self.operator.is_some() || self.document.is_some()
+    }
+
+    fn operator(&self) -> Result<Option<Operator>, String> {
+        let Some(path) = &self.operator else { return Ok(None) };
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{shown}: {error}"))?;
+        let read = Operator::read(&text, &shown);
+        read.map(Some).map_err(|faults| fault::lines(&faults, FAULTS_SHOWN))
+    }
+
+    /// Says what these files would do.
+    fn check(&self) -> Result<(), String> {
+        if let Some(operator) = self.operator()? {
+            match operator.stream {
+                Some(stream) => {
+                    let control: Vec<String> = stream.control.iter().map(ToString::to_string).collect();
+                    println!("configuration is streamed from {}", control.join(", "));
+                    println!("the last good version is kept in {}", stream.store.display());
+                    println!("a version is on trial for {} ms", stream.trial.span.as_ms());
+                    match &stream.document {
+                        Some(document) => {
+                            read_document(document)?;
+                            println!("a node that has kept nothing starts by {}", document.display());
+                        }
+                        None => println!("a node that has kept nothing waits for a version, not ready"),
+                    }
+                }
+                None => println!("nothing beyond the platform's side is switched on"),
+            }
+        }
+        if let Some(path) = &self.document {
+            let document = read_document(path)?;
+            println!("{}: digest {}", path.display(), document.digest());
+            println!("use cases: {}", document.fields().names("use_case").join(", "));
+            println!("customers: {}", document.fields().names("customer").len());
+        }
+        Ok(())
+    }
+}
--- a/crates/hazelgrade-server/src/program/configuration.rs
+++ b/crates/hazelgrade-server/src/program/configuration.rs
@@ -30,16 +30,15 @@
     pub addresses: Addresses,
     pub seed: u64,
     pub stop: Duration,
-    /// Client connections that may be open at once.
-    pub connections: usize,
-    /// What kept results of numbered jobs may take.
-    pub result_bytes: usize,
+    /// Descriptors that the process may hold, and its memory in MB.
+    pub sockets: usize,
+    pub memory_mb: f64,
     pub settings: Value,
     pub fixed: Fixed,
 }
 
 /// The fields that only a start takes in, as they were then.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Fixed(Vec<(&'static str, Option<Value>)>);
 
 impl Fixed {
@@ -89,6 +88,33 @@
     }
 }
 
+impl Deployment {
+    /// Client connections that may be open at once.
+    pub fn connections(&self) -> usize {
+        let rest = self.sockets.saturating_sub(DESCRIPTORS_KEPT + database::MOST);
+        rest.max(self.sockets / CLIENTS_PART)
+    }
+
+    /// What kept results of numbered jobs may take.
+    pub fn result_bytes(&self) -> usize {
+        (self.memory_mb * RESULTS_PART * 1024.0 * 1024.0) as usize
+    }
+
+    /// A document may ask for less than the platform grants, never for more.
+    pub fn within(&mut self, sockets: Option<f64>, memory_mb: Option<f64>) {
+        self.sockets = sockets.map_or(self.sockets, |sockets| self.sockets.min(sockets as usize));
+        self.memory_mb = memory_mb.map_or(self.memory_mb, |memory_mb| self.memory_mb.min(memory_mb));
+    }
+
+    /// The settings without use cases and customers: these come as documents.
+    pub fn without_use_cases(&mut self) {
+        if let Some(settings) = self.settings.as_object_mut() {
+            settings.remove("classes");
+            settings.remove("customers");
+        }
+    }
+}
+
 pub fn decode(mut value: Value) -> Result<Deployment, String> {
     if !value.is_object() {
         return Err("expected a JSON object".into());
@@ -125,8 +151,8 @@
         fixed,
         seed: seed.ok_or_else(|| wrong("seed", "16 hex digits"))?,
         stop: Duration::from_secs_f64(stop.ok_or_else(|| wrong("stop_ms", "milliseconds"))? / 1000.0),
-        connections: (sockets.saturating_sub(DESCRIPTORS_KEPT + database::MOST)).max(sockets / CLIENTS_PART),
-        result_bytes: (memory_mb * RESULTS_PART * 1024.0 * 1024.0) as usize,
+        sockets,
+        memory_mb,
         settings: value.get_mut("settings").map(Value::take).ok_or_else(|| wrong("settings", "an object"))?,
     })
 }
--- a/crates/hazelgrade-server/src/program/mod.rs
+++ b/crates/hazelgrade-server/src/program/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod command;
 pub mod configuration;
+pub mod control;
 pub mod drain;
 pub mod logging;
 pub mod reload;
 pub mod serve;
+pub mod streaming;
--- a/crates/hazelgrade-server/src/program/reload.rs
+++ b/crates/hazelgrade-server/src/program/reload.rs
@@ -6,6 +6,8 @@
 use crate::routing::rounds::Rounds;
 use crate::transport::executor::Link;
 use crate::transport::registry::Registry;
+use hazelgrade_config::document::Places;
+use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -14,6 +16,9 @@
     /// What the configuration said at the start.
     pub fixed: Fixed,
     pub calls_below: bool,
+    /// As the file says, and what a streamed document says beside that.
+    pub file: Cell<Addresses>,
+    pub streamed: Cell<Places>,
     pub link: Rc<Link>,
     pub calls: Rc<Calls>,
     pub registry: Rc<Registry>,
@@ -41,17 +46,35 @@
                 if self.calls_below { "an address, as at the start" } else { "none, as at the start" };
             return Err(wrong(format!("field db: expected {expected}")));
         }
-        // Connecting a datagram socket fails at once or not at all; it goes first, as nothing has changed yet.
-        self.registry
-            .move_to(addresses.registry)
-            .map_err(|error| wrong(format!("field registry: {error}")))?;
-        self.link.move_to(addresses.executor);
-        addresses.database.iter().for_each(|database| self.calls.move_to(*database));
-        self.rounds.beat_now();
+        let addresses = self.move_to(addresses, self.streamed.get()).map_err(wrong)?;
         let differ = self.fixed.differing(&value);
         if !differ.is_empty() {
             tracing::warn!(fields = differ.join(", "), "changed in the file, but only a start takes them in");
         }
         Ok(addresses)
     }
+
+    /// What a streamed document says takes the place of what the file says.
+    pub fn stream(&self, streamed: Places) -> Result<(), String> {
+        if streamed.database.is_some() && !self.calls_below {
+            return Err("field database: expected none, as this node calls nothing below".into());
+        }
+        self.move_to(self.file.get(), streamed).map(drop)
+    }
+
+    fn move_to(&self, file: Addresses, streamed: Places) -> Result<Addresses, String> {
+        let addresses = Addresses {
+            executor: streamed.executor.unwrap_or(file.executor),
+            registry: streamed.registry.unwrap_or(file.registry),
+            database: streamed.database.filter(|_| self.calls_below).or(file.database),
+        };
+        // Connecting a datagram socket fails at once or not at all; it goes first, as nothing has changed yet.
+        self.registry.move_to(addresses.registry).map_err(|error| format!("field registry: {error}"))?;
+        self.file.set(file);
+        self.streamed.set(streamed);
+        self.link.move_to(addresses.executor);
+        addresses.database.iter().for_each(|database| self.calls.move_to(*database));
+        self.rounds.beat_now();
+        Ok(addresses)
+    }
 }
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -2,8 +2,9 @@
 
 use super::configuration::Deployment;
 use super::drain;
+use super::logging::Level;
 use super::reload::Reload;
-use crate::bell::Bell;
+use super::streaming::{Kit, Surroundings};
 use crate::protocol::registry;
 use crate::routing::calls::Calls;
 use crate::routing::front::Front;
@@ -22,10 +23,14 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use futures_lite::future::{BoxedLocal, or};
+use hazelgrade_config::operator::Streamed;
+use hazelgrade_net::bell::Bell;
+use hazelgrade_stream::follow::Follow;
 use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::level_filters::LevelFilter;
 
 /// Reports get lost; so many go out in the three seconds after which an instance is taken off the list.
 const BEAT_EVERY: Duration = Duration::from_millis(250);
@@ -34,7 +39,21 @@
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 
 /// Serves until the notice to leave, then leaves; each SIGHUP until the end has the file at `path` read again. `Ok(true)` if every answer was written.
-pub fn serve(deployment: Deployment, path: PathBuf) -> Result<bool, String> {
+///
+/// With `streamed`, use cases, customers, promises and addresses come as documents; what the deployment says of use cases and
+/// customers doesn't count then.
+pub fn serve(
+    mut deployment: Deployment,
+    path: PathBuf,
+    streamed: Option<Streamed>,
+    log: (Level, LevelFilter),
+) -> Result<bool, String> {
+    let kit = streamed.as_ref().map(|streamed| Kit::open(streamed, &deployment.name)).transpose()?;
+    if let Some(kit) = &kit {
+        let (sockets, memory_mb) = kit.limits();
+        deployment.within(sockets, memory_mb);
+        deployment.without_use_cases();
+    }
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
     let mut signals = signals.map_err(|error| format!("signals: {error}"))?;
     let (control, site) = hazelgrade_site::instance(&deployment.settings, deployment.seed)
@@ -47,7 +66,7 @@
     let registry = Rc::new(registry);
     tracing::info!(name = deployment.name, listen = %deployment.listen, "started");
 
-    let (hand, repeats) = (Rc::new(Hand::default()), Rc::new(Repeats::new(deployment.result_bytes)));
+    let (hand, repeats) = (Rc::new(Hand::default()), Rc::new(Repeats::new(deployment.result_bytes())));
     let tasks = Rc::new(LocalExecutor::new());
     let link = Rc::new(Link::new(addresses.executor));
     let rounds = Rc::new(Rounds::new(control, site.tick, hand.clone(), repeats.clone(), link.clone()));
@@ -57,20 +76,20 @@
         tasks.clone(),
     ));
     let notices = Notices::new(rounds.clone(), hand.clone(), link.clone(), &site.gauges);
+    let list_follows_health = site.list_follows_health;
+    let (promises, calls_may) = (site.promises.clone(), site.calls_below);
     let parts = Rc::new(Parts {
         rounds: rounds.clone(),
         hand,
         repeats,
         calls: calls.clone(),
         link: link.clone(),
-        use_cases: site.use_cases.iter().map(|case| case.name.clone()).collect(),
+        site: RefCell::new(Rc::new(site)),
         tally: RefCell::new(Tally::default()),
     });
-    let list_follows_health = site.list_follows_health;
     let front = Rc::new(Front {
         parts: parts.clone(),
-        site,
-        clients: Clients::new(deployment.connections),
+        clients: Clients::new(deployment.connections()),
         tasks: tasks.clone(),
         bad_lines: Cell::new(0),
     });
@@ -82,6 +101,34 @@
     start(Box::pin(summary(front.clone())));
     let watched = front.clone();
     start(Box::pin(async move { watched.clients.watch().await }));
+    let reload = Rc::new(Reload {
+        path,
+        fixed: deployment.fixed.clone(),
+        calls_below: addresses.database.is_some(),
+        file: Cell::new(addresses),
+        streamed: Cell::default(),
+        link,
+        calls,
+        registry,
+        rounds: rounds.clone(),
+    });
+    let left = Rc::new(Bell::default());
+    if let Some((kit, streamed)) = kit.zip(streamed) {
+        let (level, usual_level) = log;
+        let surroundings = Surroundings {
+            name: deployment.name.clone(),
+            parts: parts.clone(),
+            reload: reload.clone(),
+            level,
+            usual_level,
+            promises,
+            calls_below: calls_may,
+        };
+        let (subscriber, first, node) = kit.start(&streamed, &deployment, surroundings);
+        let (host, controls) = (Rc::new(node), streamed.control);
+        let follow = Follow { host, controls, tasks: tasks.clone(), leaving: left.clone() };
+        start(Box::pin(async move { follow.run(subscriber, first).await }));
+    }
     let (for_link, for_rounds) = (tasks.clone(), rounds.clone());
     start(Box::pin(async move { notices.keep(&for_link).await }));
     start(Box::pin(async move { for_rounds.run().await }));
@@ -92,8 +139,6 @@
     };
     let accepting = tasks.spawn(accepting);
 
-    let (fixed, calls_below) = (deployment.fixed, addresses.database.is_some());
-    let reload = Reload { path, fixed, calls_below, link, calls, registry, rounds: rounds.clone() };
     let (notice, noticed) = (Bell::default(), Cell::new(None));
     let signalled = async {
         while let Some(signal) = signals.next().await {
@@ -114,6 +159,7 @@
         notice.heard().await;
         let noticed = noticed.get().unwrap_or_else(|| rounds.alive());
         leaving.set(true);
+        left.ring();
         rounds.beat_now();
         Ok(drain::leave(&front, accepting, listener, noticed, deployment.stop).await)
     };
--- /dev/null
+++ b/crates/hazelgrade-server/src/program/streaming.rs
@@ -0,0 +1,289 @@
+//! Streamed configuration in a serving node: what it was kept from, how a document takes effect, how service is told.
+
+use super::configuration::Deployment;
+use super::logging::Level;
+use super::reload::Reload;
+use crate::routing::job::Parts;
+use futures_lite::future::{BoxedLocal, FutureExt};
+use hazelgrade::chance::Chance;
+use hazelgrade::desk::{Customer, Placed, Promises, Revision, UseCase};
+use hazelgrade::time::{Span, Time};
+use hazelgrade_config::document::{MOST_CUSTOMERS, MOST_USE_CASES};
+use hazelgrade_config::operator::Streamed;
+use hazelgrade_config::{Document, fault};
+use hazelgrade_site::places::Places;
+use hazelgrade_site::{Named, Site};
+use hazelgrade_store::{Fault, Store};
+use hazelgrade_stream::backoff::Backoff;
+use hazelgrade_stream::follow::Host;
+use hazelgrade_stream::kept::{self, Kept};
+use hazelgrade_stream::subscriber::{Action, Start, Subscriber};
+use hazelgrade_stream::trial::Sample;
+use std::cell::{Cell, RefCell};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use tracing::level_filters::LevelFilter;
+
+/// Under this name what was kept and can't be read is put aside, before anything is kept in its place.
+const UNREAD: &str = "configuration.unread";
+/// Names that were taken away keep their places for a while; there are so many places for each that a document may use.
+const PLACES_A_NAME: usize = 4;
+/// A name that was taken away rests for so many times the longest time in which a job or a repeat may name it.
+const REST: f64 = 2.0;
+const FAULTS_NAMED: usize = 5;
+
+/// What a node has to start from.
+pub struct Kit {
+    store: Result<Arc<Mutex<Store>>, String>,
+    kept: Kept,
+    /// What was kept, if it can't be read.
+    unread: Option<Vec<u8>>,
+    file: Option<Document>,
+}
+
+/// Reads a document from a file.
+pub fn read_document(path: &Path) -> Result<Document, String> {
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{shown}: {error}"))?;
+    Document::read(&text, &shown).map_err(|faults| fault::lines(&faults, FAULTS_NAMED))
+}
+
+impl Kit {
+    /// Opens the store and reads the file. A store that is another's, or in use, is the operator's slip and ends the
+    /// start. One that can't be used otherwise is left as it is, and the node starts by its file.
+    pub fn open(streamed: &Streamed, owner: &str) -> Result<Kit, String> {
+        let shown = streamed.store.display();
+        let file = streamed.document.as_deref().map(read_document).transpose()?;
+        let mut kit = Kit { store: Err(String::new()), kept: Kept::default(), unread: None, file };
+        let opened = Store::open(&streamed.store, owner).and_then(|mut store| {
+            let kept = store.get(kept::NAME)?;
+            Ok((store, kept))
+        });
+        match opened {
+            Ok((store, kept)) => {
+                match kept.as_deref().map(Kept::decode).transpose() {
+                    Ok(kept) => kit.kept = kept.unwrap_or_default(),
+                    Err(why) => {
+                        tracing::error!("field stream.store: {shown}: what was kept can't be read, {why}");
+                        kit.unread = kept;
+                    }
+                }
+                kit.store = Ok(Arc::new(Mutex::new(store)));
+            }
+            Err(fault @ (Fault::Other { .. } | Fault::InUse)) => {
+                return Err(format!("field stream.store: {shown}: {fault}"));
+            }
+            Err(fault) => {
+                tracing::error!("field stream.store: {shown}: {fault}; nothing can be kept");
+                kit.store = Err(format!("{shown}: {fault}"));
+            }
+        }
+        Ok(kit)
+    }
+
+    /// What a start takes in of the document that it serves by: descriptors, and memory in MB.
+    pub fn limits(&self) -> (Option<f64>, Option<f64>) {
+        let good = self.kept.good.as_ref().map(|good| &good.document);
+        good.or(self.file.as_ref()).map_or((None, None), Document::limits)
+    }
+
+    /// The subscriber and its first actions, and the node around it.
+    pub fn start(
+        self,
+        streamed: &Streamed,
+        deployment: &Deployment,
+        surroundings: Surroundings,
+    ) -> (Subscriber, Vec<Action>, Node) {
+        let Kit { store, kept, unread, file } = self;
+        let start = Start {
+            node: deployment.name.clone(),
+            program: env!("CARGO_PKG_VERSION").into(),
+            lineage: streamed.lineage.clone(),
+            rules: streamed.trial,
+            controls: streamed.control.len(),
+            chance: Chance::new(deployment.seed.rotate_left(32)),
+            backoff: Backoff::default(),
+            kept,
+            file,
+        };
+        // Until what there is to serve by has taken effect.
+        surroundings.parts.rounds.set_ready(false);
+        let mut first = Vec::new();
+        let now = surroundings.parts.rounds.clock.now();
+        let subscriber = Subscriber::start(now, start, &mut first);
+        let node = Node {
+            surroundings,
+            store,
+            unread: Rc::new(RefCell::new(unread)),
+            use_cases: RefCell::new(Table::empty()),
+            customers: RefCell::new(Table::empty()),
+            told: Cell::default(),
+        };
+        (subscriber, first, node)
+    }
+}
+
+/// What of the program a document reaches.
+pub struct Surroundings {
+    pub name: String,
+    pub parts: Rc<Parts>,
+    pub reload: Rc<Reload>,
+    pub level: Level,
+    /// The level that the command line named.
+    pub usual_level: LevelFilter,
+    /// As the settings say, for what a document leaves open.
+    pub promises: Promises,
+    pub calls_below: bool,
+}
+
+/// Names at their places, with the figures that each had last.
+struct Table<T> {
+    places: Places,
+    figures: Vec<T>,
+}
+
+pub struct Node {
+    surroundings: Surroundings,
+    store: Result<Arc<Mutex<Store>>, String>,
+    unread: Rc<RefCell<Option<Vec<u8>>>>,
+    use_cases: RefCell<Table<UseCase>>,
+    customers: RefCell<Table<Customer>>,
+    /// Answered and satisfied, as told last.
+    told: Cell<(u64, u64)>,
+}
+
+impl<T: Clone> Table<T> {
+    fn empty() -> Table<T> {
+        Table { places: Places::default(), figures: Vec::new() }
+    }
+
+    /// The table for other names, with their figures, and the places that stand for something else.
+    fn revised(
+        &self,
+        now: Time,
+        named: &[(String, T)],
+        rest: impl Fn(&T) -> Span,
+        most: usize,
+        busy: impl Fn(usize) -> bool,
+    ) -> Result<(Table<T>, Vec<usize>), String> {
+        let names: Vec<(&str, Span)> = named.iter().map(|(name, of)| (name.as_str(), rest(of))).collect();
+        let assigned = self.places.assign(now, &names, most * PLACES_A_NAME, busy)?;
+        let mut figures = self.figures.clone();
+        // New places are at the end, in the order of their names.
+        for (place, (_, of)) in assigned.at.iter().zip(named) {
+            match figures.get_mut(*place) {
+                Some(figure) => *figure = of.clone(),
+                None => figures.push(of.clone()),
+            }
+        }
+        Ok((Table { places: assigned.places, figures }, assigned.anew))
+    }
+}
+
+impl Node {
+    /// What the module and the fronts go by from now on.
+    fn serve_by(&self, document: Option<&Document>) -> Result<(), String> {
+        let around = &self.surroundings;
+        let (parts, now) = (&around.parts, around.parts.rounds.clock.now());
+        let serving = document.map(|document| document.serving(&around.promises));
+        let (mut cases, customers, promises) = match serving {
+            Some(serving) => (serving.use_cases, serving.customers, serving.promises),
+            None => (Vec::new(), Vec::new(), around.promises.clone()),
+        };
+        cases.iter_mut().for_each(|(_, case)| case.calls &= around.calls_below);
+        let rest = |case: &UseCase| (case.cut_off + case.window) * REST;
+        let longest = cases.iter().map(|(_, case)| rest(case)).max().unwrap_or(Span::ZERO);
+        let (use_cases, anew_use_cases) =
+            self.use_cases.borrow().revised(now, &cases, rest, MOST_USE_CASES, |place| {
+                parts.hand.names(|use_case, _| use_case == place)
+            })?;
+        let (customers, anew_customers) = self.customers.borrow().revised(
+            now,
+            &customers,
+            |_| longest,
+            MOST_CUSTOMERS,
+            |place| parts.hand.names(|_, customer| customer == place),
+        )?;
+        // The last that may fail goes first: after it all of the document takes effect.
+        let places = document.map(|document| document.places(&around.name)).unwrap_or_default();
+        around.reload.stream(places)?;
+        let in_use = |place: usize| use_cases.places.name(place).is_some_and(|(_, in_use)| in_use);
+        let placed =
+            |(place, figures): (usize, &UseCase)| Placed { figures: figures.clone(), in_use: in_use(place) };
+        let revision = Revision {
+            use_cases: use_cases.figures.iter().enumerate().map(placed).collect(),
+            customers: customers.figures.clone(),
+            promises,
+            anew_use_cases,
+            anew_customers,
+        };
+        if !parts.rounds.revise(revision) {
+            return Err("a place was taken away that jobs in hand may name".into());
+        }
+        let named = |(place, case): (usize, &UseCase)| Named {
+            name: use_cases.places.name(place).map(|(name, _)| name.to_owned()).unwrap_or_default(),
+            repeats: case.repeats,
+            cut_off: case.cut_off,
+            in_use: in_use(place),
+        };
+        let customer = |place| customers.places.name(place).filter(|(_, in_use)| *in_use);
+        let before = parts.site.borrow().clone();
+        parts.site.replace(Rc::new(Site {
+            use_cases: use_cases.figures.iter().enumerate().map(named).collect(),
+            customers: (0..customers.places.count())
+                .map(|place| customer(place).map(|(name, _)| name.to_owned()))
+                .collect(),
+            ..(*before).clone()
+        }));
+        self.use_cases.replace(use_cases);
+        self.customers.replace(customers);
+        parts.rounds.set_ready(document.is_some());
+        let level = document.and_then(Document::log).and_then(|level| level.parse().ok());
+        if around.level.modify(|now| *now = level.unwrap_or(around.usual_level)).is_err() {
+            tracing::debug!("the log level can't be changed");
+        }
+        Ok(())
+    }
+}
+
+impl Host for Node {
+    fn now(&self) -> Time {
+        self.surroundings.parts.rounds.clock.now()
+    }
+
+    fn keep(&self, bytes: Vec<u8>) -> BoxedLocal<Result<(), String>> {
+        let (store, aside) = (self.store.clone(), self.unread.clone());
+        async move {
+            let (store, unread) = (store?, aside.borrow().clone());
+            let kept = blocking::unblock(move || {
+                let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
+                let mut changes = vec![(kept::NAME, Some(bytes.as_slice()))];
+                changes.extend(unread.as_deref().map(|unread| (UNREAD, Some(unread))));
+                store.keep(&changes).map_err(|fault| fault.to_string())
+            })
+            .await;
+            if kept.is_ok() {
+                aside.replace(None);
+            }
+            kept
+        }
+        .boxed_local()
+    }
+
+    fn take_effect(&self, document: Option<&Document>) -> Result<(), String> {
+        self.serve_by(document)
+    }
+
+    fn sample(&self) -> Sample {
+        let parts = &self.surroundings.parts;
+        let tally = *parts.tally.borrow();
+        let answered = tally.satisfied + tally.bounced + tally.written_off + tally.not_here;
+        let (answered_before, satisfied_before) = self.told.replace((answered, tally.satisfied));
+        Sample {
+            answered: answered.saturating_sub(answered_before) as f64,
+            satisfied: tally.satisfied.saturating_sub(satisfied_before) as f64,
+            linked: parts.link.is_up(),
+        }
+    }
+}
--- a/crates/hazelgrade-server/src/protocol/jsonrpc.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 pub struct Wrong {
     pub call: Option<u64>,
+    /// It asks for what this node doesn't serve, or no longer: elsewhere it may be served, and asking is no misuse.
+    pub not_here: bool,
     code: i64,
     message: String,
 }
@@ -80,7 +82,7 @@
 
 /// Decodes a line. `site` gives the use cases and customers that a job may name.
 pub fn decode(line: &[u8], site: &Site) -> Result<Incoming, Wrong> {
-    let wrong = |call, code, message: &str| Wrong { call, code, message: message.into() };
+    let wrong = |call, code, message: &str| Wrong { call, not_here: false, code, message: message.into() };
     let value: Value = serde_json::from_slice(line)
         .map_err(|_| wrong(None, UNREADABLE, "the line is not a JSON value in UTF-8"))?;
     let Value::Object(mut message) = value else {
@@ -109,8 +111,13 @@
     if method == "ping" {
         return Ok(Incoming::Check(number));
     }
-    let Some(use_case) = site.use_cases.iter().position(|case| case.name == method) else {
-        return Err(wrong(call, UNKNOWN_METHOD, "field method: expected a use case of this site"));
+    let use_case = match site.use_case(&method) {
+        Some((use_case, true)) => use_case,
+        known => {
+            let not_here = known.is_some() || !site.serves();
+            let unknown = wrong(call, UNKNOWN_METHOD, "field method: expected a use case of this site");
+            return Err(Wrong { not_here, ..unknown });
+        }
     };
     match asked(number, use_case, &mut params, site) {
         Ok(asked) => Ok(Incoming::Job(Box::new(asked))),
@@ -127,12 +134,12 @@
     params.number("via", |via| via >= 0.0 && via.fract() == 0.0, "a whole number")?;
     let owner = params.text_or_none("owner", "a customer of this site")?;
     let customer = match owner {
-        Some(owner) => site.customers.iter().position(|name| *name == owner),
-        None => site.customers.is_empty().then_some(0),
+        Some(owner) => site.customers.iter().position(|name| name.as_ref() == Some(&owner)),
+        None => None,
     };
     let customer = match customer {
         Some(customer) => customer,
-        None if site.customers.is_empty() => 0,
+        None if site.customers.iter().all(Option::is_none) => 0,
         None => return Err("field owner: expected a customer of this site".into()),
     };
     let again = match params.0.get("resent") {
@@ -216,16 +223,21 @@
 /// What a peer is told whose connection is ended for a message past the longest, or one wrong message too many.
 pub fn last_words(too_long: bool) -> String {
     let message = if too_long { "the line is longer than any message" } else { "too many wrong messages" };
-    encode_wrong(&Wrong { call: None, code: NOT_A_CALL, message: message.into() })
+    encode_wrong(&Wrong { call: None, not_here: false, code: NOT_A_CALL, message: message.into() })
 }
 
 pub fn wrong_time(call: u64) -> Wrong {
     let message = "field ts: expected a time in the past, and within the cut-off".into();
-    Wrong { call: Some(call), code: WRONG_PARAMS, message }
+    Wrong { call: Some(call), not_here: false, code: WRONG_PARAMS, message }
 }
 
 /// The answer to a call whose number is still open on its connection; under that number it would pass for the
 /// answer to the open one.
 pub fn still_open() -> Wrong {
-    Wrong { call: None, code: NOT_A_CALL, message: "field id: a call with this id is still open".into() }
+    Wrong {
+        call: None,
+        not_here: false,
+        code: NOT_A_CALL,
+        message: "field id: a call with this id is still open".into(),
+    }
 }
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -4,12 +4,11 @@
 use super::job::{self, Parts};
 use crate::protocol::jsonrpc::{self, Answer, Asked, Incoming, Wrong};
 use crate::transport::clients::{Client, Clients};
-use crate::transport::ending::ConnectionEnd;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use hazelgrade::desk::{JobId, Repeats};
 use hazelgrade::time::Span;
-use hazelgrade_site::Site;
+use hazelgrade_net::ending::ConnectionEnd;
 use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -19,7 +18,6 @@
 
 pub struct Front {
     pub parts: Rc<Parts>,
-    pub site: Site,
     pub clients: Clients<JobId>,
     pub tasks: Rc<LocalExecutor<'static>>,
     pub bad_lines: Cell<u64>,
@@ -49,7 +47,8 @@
 
     async fn take(&self, client: &Rc<Client<JobId>>, line: &[u8]) {
         let rounds = &self.parts.rounds;
-        match jsonrpc::decode(line, &self.site) {
+        let site = self.parts.site.borrow().clone();
+        match jsonrpc::decode(line, &site) {
             Ok(Incoming::Job(asked)) => {
                 client.room().await;
                 self.arrived(client, *asked);
@@ -64,7 +63,15 @@
             Ok(Incoming::Check(call)) => {
                 client.put(&jsonrpc::encode_check(call, rounds.good(), rounds.said()));
             }
-            Err(wrong) => self.refuse(client, &wrong),
+            Err(wrong) => match wrong.call.filter(|_| wrong.not_here) {
+                Some(call) => {
+                    self.parts.tally.borrow_mut().not_here += 1;
+                    let bounced = Answer::Bounced { not_elsewhere: false, back_in: Span::ZERO };
+                    client.put(&jsonrpc::encode(call, &bounced, rounds.said()));
+                    client.bounced();
+                }
+                None => self.refuse(client, &wrong),
+            },
         }
     }
 
@@ -90,13 +97,15 @@
         }
         let reached = parts.rounds.clock.past(asked.job.reached);
         let now = parts.rounds.clock.now();
-        if asked.job.reached > now + Span::from_ms(AHEAD_MS)
-            || reached + self.site.use_cases[asked.job.use_case].cut_off < now
-        {
+        let (cut_off, numbered) = {
+            let site = parts.site.borrow();
+            let case = &site.use_cases[asked.job.use_case];
+            (case.cut_off, case.repeats != Repeats::Reissuable)
+        };
+        if asked.job.reached > now + Span::from_ms(AHEAD_MS) || reached + cut_off < now {
             return self.refuse(client, &jsonrpc::wrong_time(call));
         }
         client.open(call, id.clone());
-        let numbered = self.site.use_cases[asked.job.use_case].repeats != Repeats::Reissuable;
         let key = asked.mark.take().filter(|_| numbered).map(|mark| (asked.job.use_case, mark));
         asked.job.reached = reached;
         asked.job.known = client.is_proved();
--- a/crates/hazelgrade-server/src/routing/hand.rs
+++ b/crates/hazelgrade-server/src/routing/hand.rs
@@ -88,6 +88,11 @@
         self.jobs.borrow_mut().remove(id);
     }
 
+    /// Whether a job in hand names a place, by what `place` takes of a job's use case and customer.
+    pub fn names(&self, place: impl Fn(usize, usize) -> bool) -> bool {
+        self.jobs.borrow().values().any(|slot| place(slot.words.0, slot.words.1))
+    }
+
     pub fn count(&self) -> usize {
         self.jobs.borrow().len()
     }
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -14,6 +14,7 @@
 use futures_lite::future::or;
 use hazelgrade::desk::{JobId, Outcome};
 use hazelgrade::time::{Span, Time};
+use hazelgrade_site::Site;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,6 +36,8 @@
     pub callers_gone: u64,
     /// Ends of runs whose job was answered before.
     pub unwanted: u64,
+    /// Asked for what is not served here, or no longer.
+    pub not_here: u64,
     /// Jobs that the executor did not know.
     pub not_known: u64,
 }
@@ -46,7 +49,8 @@
     pub repeats: Rc<Repeats>,
     pub calls: Rc<Calls>,
     pub link: Rc<Link>,
-    pub use_cases: Vec<String>,
+    /// As it is served now; a job that has arrived keeps its own.
+    pub site: RefCell<Rc<Site>>,
     pub tally: RefCell<Tally>,
 }
 
@@ -111,8 +115,8 @@
 /// Lives through a job. Its turns come one by one: decisions of the module, and what the others tell.
 pub async fn live(asked: Asked, turns: Receiver<Turn>, parts: Rc<Parts>) {
     let Asked { job, body, .. } = asked;
-    let (id, use_case, repeats) =
-        (job.id.clone(), parts.use_cases[job.use_case].clone(), job.repeats.clone());
+    let (id, repeats) = (job.id.clone(), job.repeats.clone());
+    let use_case = parts.site.borrow().use_cases[job.use_case].name.clone();
 
     // It has arrived; the module hears of it, and its verdict comes as a turn.
     parts.rounds.tell(Event::Arrived(job));
--- a/crates/hazelgrade-server/src/routing/notices.rs
+++ b/crates/hazelgrade-server/src/routing/notices.rs
@@ -3,10 +3,10 @@
 use super::hand::{Hand, Turn};
 use super::rounds::Rounds;
 use crate::protocol::executor::{self, Command, Notice};
-use crate::transport::ending::ConnectionEnd;
 use crate::transport::executor::{Link, LinkEnds};
 use async_executor::LocalExecutor;
 use hazelgrade::time::Span;
+use hazelgrade_net::ending::ConnectionEnd;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/crates/hazelgrade-server/src/routing/outcome.rs
+++ b/crates/hazelgrade-server/src/routing/outcome.rs
@@ -2,8 +2,8 @@
 
 use crate::protocol::database::Reply;
 use crate::protocol::executor::RunEnd;
-use crate::transport::ending::ConnectionEnd;
 use hazelgrade::desk::Outcome;
+use hazelgrade_net::ending::ConnectionEnd;
 
 /// How a call ended.
 #[derive(Clone, Debug)]
--- a/crates/hazelgrade-server/src/routing/rounds.rs
+++ b/crates/hazelgrade-server/src/routing/rounds.rs
@@ -4,15 +4,15 @@
 use super::clock::Clock;
 use super::hand::{Hand, Turn};
 use super::repeats::Repeats;
-use crate::bell::Bell;
 use crate::protocol::executor::{self, Command};
 use crate::protocol::jsonrpc::Answer;
 use crate::transport::executor::Link;
 use async_io::Timer;
 use futures_lite::future::or;
 use hazelgrade::control::{Control, Inflow};
-use hazelgrade::desk::{Decisions, Job, JobId, Outcome};
+use hazelgrade::desk::{Decisions, Job, JobId, Outcome, Revision};
 use hazelgrade::time::{Span, Time};
+use hazelgrade_net::bell::Bell;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -57,6 +57,8 @@
     still: Cell<(Time, Time)>,
     said: Cell<Option<f64>>,
     good: Cell<bool>,
+    /// There is something to serve by.
+    ready: Cell<bool>,
     health_changed: Bell,
     hand: Rc<Hand>,
     repeats: Rc<Repeats>,
@@ -82,6 +84,7 @@
             proved: Cell::new(Instant::now()),
             said: Cell::new(None),
             good: Cell::new(true),
+            ready: Cell::new(true),
             health_changed: Bell::default(),
             hand,
             repeats,
@@ -108,7 +111,19 @@
     }
 
     pub fn good(&self) -> bool {
-        self.good.get()
+        self.good.get() && self.ready.get()
+    }
+
+    /// Whether there is something to serve by.
+    pub fn set_ready(&self, ready: bool) {
+        if self.ready.replace(ready) != ready {
+            self.health_changed.ring();
+        }
+    }
+
+    /// Other figures to go by, from the next round on.
+    pub fn revise(&self, to: Revision) -> bool {
+        self.control.borrow_mut().revise(self.clock.now(), to)
     }
 
     pub async fn health_changed(&self) {
--- a/crates/hazelgrade-server/src/transport/clients.rs
+++ b/crates/hazelgrade-server/src/transport/clients.rs
@@ -2,14 +2,14 @@
 //! What a peer may cost is bounded here, for each connection; a peer that has shown itself gets more room, and
 //! makes room last.
 
-use super::ending::ConnectionEnd;
-use super::lines::read_line;
-use super::outbox::Outbox;
-use crate::bell::Bell;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
 use futures_lite::io::{AsyncBufReadExt, BufReader};
+use hazelgrade_net::bell::Bell;
+use hazelgrade_net::ending::ConnectionEnd;
+use hazelgrade_net::lines::read_line;
+use hazelgrade_net::outbox::Outbox;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpStream};
--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -1,15 +1,15 @@
 //! Connections to what lies below: a small set, opened as calls need them. Calls spread over them, so that one
 //! that breaks or can't be read takes few calls with it, as a rule one. Whose calls they are is known above.
 
-use super::connect::connect;
-use super::ending::ConnectionEnd;
-use super::lines::{read_body, read_line};
-use super::outbox::Outbox;
-use crate::bell::Bell;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future::{or, poll_once};
 use futures_lite::io::{AsyncBufRead, AsyncBufReadExt, BufReader};
+use hazelgrade_net::bell::Bell;
+use hazelgrade_net::connect::connect;
+use hazelgrade_net::ending::ConnectionEnd;
+use hazelgrade_net::lines::{read_body, read_line};
+use hazelgrade_net::outbox::Outbox;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/hazelgrade-server/src/transport/executor.rs
+++ b/crates/hazelgrade-server/src/transport/executor.rs
@@ -1,14 +1,14 @@
 //! The link to the executor: held open, and opened anew when it ends.
 
-use super::connect::connect;
-use super::ending::ConnectionEnd;
-use super::lines::read_line;
-use super::outbox::Outbox;
-use crate::bell::Bell;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
+use hazelgrade_net::bell::Bell;
+use hazelgrade_net::connect::connect;
+use hazelgrade_net::ending::ConnectionEnd;
+use hazelgrade_net::lines::read_line;
+use hazelgrade_net::outbox::Outbox;
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -62,6 +62,11 @@
         }
     }
 
+    /// It stands, as far as is known.
+    pub fn is_up(&self) -> bool {
+        self.outbox.borrow().is_some()
+    }
+
     /// All that was sent on the old link has arrived.
     pub fn part(&self) {
         self.parted.ring();
--- a/crates/hazelgrade-server/tests/instance/input.rs
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -2,11 +2,11 @@
 
 use crate::common::*;
 use hazelgrade::time::{Span, Time};
+use hazelgrade_net::ending::ConnectionEnd;
 use hazelgrade_server::protocol;
 use hazelgrade_server::routing::clock::Clock;
 use hazelgrade_server::routing::repeats::Repeats;
 use hazelgrade_server::transport::database::{Database, Hears};
-use hazelgrade_server::transport::ending::ConnectionEnd;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- /dev/null
+++ b/crates/hazelgrade-server/tests/streaming/control.rs
@@ -0,0 +1,150 @@
+//! The real control service, with nodes: published by a file in a folder, restarted, and one too many.
+
+use super::*;
+use hazelgrade_standins::comes_true;
+use hazelgrade_standins::documents::{BOOK, READ};
+use hazelgrade_stream::service;
+use serde_json::Value;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+struct Service {
+    child: Child,
+    address: SocketAddr,
+    documents: TempDir,
+}
+
+fn publish(folder: &Path, document: &Document) {
+    // In one step, as operators are told to.
+    let next = folder.join("next");
+    std::fs::write(&next, document.to_toml()).expect("a file");
+    std::fs::rename(&next, folder.join(service::DOCUMENT)).expect("a file");
+}
+
+impl Service {
+    fn start(document: &Document) -> Service {
+        let documents = tempfile::tempdir().expect("a folder");
+        publish(documents.path(), document);
+        let address = free_address();
+        Service { child: Service::spawn(documents.path(), address), address, documents }
+    }
+
+    fn spawn(documents: &Path, address: SocketAddr) -> Child {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hazelgrade"));
+        command.args(["control", "--lineage", "test", "--log", "error", "--documents"]).arg(documents);
+        command.args(["--listen", &address.to_string()]).stdin(Stdio::null());
+        command.spawn().expect("it starts")
+    }
+
+    fn stop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    fn start_again(&mut self) {
+        self.stop();
+        self.child = Service::spawn(self.documents.path(), self.address);
+    }
+
+    fn status(&self) -> Value {
+        service::status(self.address, Duration::from_secs(2)).unwrap_or_default()
+    }
+
+    /// Waits until the one node stands so with a version of this number.
+    fn node_stands(&self, standing: &str, number: u64) -> bool {
+        comes_true(Duration::from_secs(10), || {
+            let node = self.status()["nodes"][0].clone();
+            let of = node["of"].as_str().unwrap_or_default().to_owned();
+            node["standing"] == standing && of.starts_with(&format!("{number} "))
+        })
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+#[test]
+fn what_is_in_the_folder_is_published_and_what_is_wrong_there_is_told_and_not_published() {
+    let world = World::new(QUICK);
+    let service = Service::start(&doc(&[READ], ""));
+    let mut plan = world.plan(SHORT_TRIAL);
+    plan.control = vec![service.address];
+    let node = plan.start().expect("it starts");
+    assert!(service.node_stands("good", 1), "{}", service.status());
+    assert!(node.becomes(true));
+    publish(service.documents.path(), &doc(&[READ, BOOK], ""));
+    assert!(service.node_stands("good", 2), "{}", service.status());
+    std::fs::write(service.documents.path().join(service::DOCUMENT), "[use_case.read]\ngoal_ms = \"x\"\n")
+        .expect("a file");
+    assert!(comes_true(Duration::from_secs(5), || {
+        service.status()["folder"]
+            .as_str()
+            .is_some_and(|fault| fault.contains(":2:1: field use_case.read.goal_ms"))
+    }));
+    let status = service.status();
+    assert!(status["version"].as_str().is_some_and(|version| version.starts_with("2 ")), "{status}");
+    let shown = Command::new(env!("CARGO_BIN_EXE_hazelgrade"))
+        .args(["status", "--control", &service.address.to_string()])
+        .output()
+        .expect("it starts");
+    let shown = String::from_utf8_lossy(&shown.stdout).into_owned();
+    assert!(shown.contains("n1") && shown.contains("good") && shown.contains("not published"), "{shown}");
+}
+
+#[test]
+fn a_control_service_that_restarts_or_loses_its_counter_goes_on_where_nodes_are() {
+    let world = World::new(QUICK);
+    let mut service = Service::start(&doc(&[READ], ""));
+    let mut plan = world.plan(SHORT_TRIAL);
+    plan.control = vec![service.address];
+    let _node = plan.start().expect("it starts");
+    assert!(service.node_stands("good", 1), "{}", service.status());
+    for number in 2..=3 {
+        publish(
+            service.documents.path(),
+            &doc(&[READ], &format!("[promises]\nanswer_slack_ms = {number}\n")),
+        );
+        assert!(service.node_stands("good", number), "{}", service.status());
+    }
+    service.start_again();
+    assert!(service.node_stands("good", 3), "the same version: {}", service.status());
+    service.stop();
+    std::fs::remove_file(service.documents.path().join(service::COUNTER)).expect("a file");
+    publish(service.documents.path(), &doc(&[READ, BOOK], ""));
+    service.start_again();
+    assert!(service.node_stands("good", 4), "past what the node knows: {}", service.status());
+}
+
+#[test]
+fn of_two_control_services_that_disagree_a_node_stays_with_what_it_took_last() {
+    let world = World::new(QUICK);
+    let (mut one, other) = (Service::start(&doc(&[READ], "")), Service::start(&doc(&[BOOK], "")));
+    // The other has published already: its node has taken version 1 from it.
+    let second = World::new(QUICK);
+    let mut plan = second.plan(SHORT_TRIAL);
+    (plan.control, plan.name) = (vec![other.address], "n2".into());
+    let _n2 = plan.start().expect("it starts");
+    assert!(other.node_stands("good", 1), "{}", other.status());
+    let mut plan = world.plan(SHORT_TRIAL);
+    plan.control = vec![one.address, other.address];
+    let node = plan.start().expect("it starts");
+    assert!(one.node_stands("good", 1), "{}", one.status());
+    one.stop();
+    let refused = comes_true(Duration::from_secs(10), || {
+        let nodes = other.status()["nodes"].clone();
+        let n1 = nodes.as_array().and_then(|nodes| nodes.iter().find(|node| node["name"] == "n1")).cloned();
+        n1.is_some_and(|n1| {
+            n1["standing"] == "turned down" && n1["why"].as_str().unwrap_or("").contains("knows this number")
+        })
+    });
+    assert!(refused, "{}", other.status());
+    let callers = world.callers(&node, 100.0, &["read"]);
+    assert!(comes_true(Duration::from_secs(5), || callers.count() >= 10));
+    let served = |told: &hazelgrade_standins::callers::Told| {
+        told.fate == hazelgrade_standins::callers::Fate::Satisfied
+    };
+    assert!(callers.stop().0.iter().all(served), "it serves by what it had");
+}
--- a/crates/hazelgrade-site/src/lib.rs
+++ b/crates/hazelgrade-site/src/lib.rs
@@ -1,5 +1,7 @@
 //! The settings object that an instance is started with, decoded once for every host: into a `Control`, and
-//! into what the host itself goes by. Nothing here decides.
+//! into what the host itself goes by. `places.rs` says which place a name has when use cases and customers come and go.
+
+pub mod places;
 
 use hazelgrade::chance::Chance;
 use hazelgrade::control::Control;
@@ -19,7 +21,12 @@
 #[derive(Clone, Debug)]
 pub struct Site {
     pub use_cases: Vec<Named>,
-    pub customers: Vec<String>,
+    /// By place; none where the customer is gone.
+    pub customers: Vec<Option<String>>,
+    /// What the settings promise, for documents that leave it open.
+    pub promises: Promises,
+    /// There is something below to call.
+    pub calls_below: bool,
     /// The names of the gauges, in order.
     pub gauges: Vec<String>,
     /// The shortest time between rounds.
@@ -35,6 +42,21 @@
     pub name: String,
     pub repeats: Repeats,
     pub cut_off: Span,
+    /// Jobs may ask for it; one that is gone keeps its place for those in hand.
+    pub in_use: bool,
+}
+
+impl Site {
+    /// The place of a use case, and whether it is in use.
+    pub fn use_case(&self, name: &str) -> Option<(usize, bool)> {
+        let place = self.use_cases.iter().position(|case| case.name == name)?;
+        Some((place, self.use_cases[place].in_use))
+    }
+
+    /// Something can be asked for.
+    pub fn serves(&self) -> bool {
+        self.use_cases.iter().any(|case| case.in_use)
+    }
 }
 
 /// A part of the settings, with the path to it for messages.
@@ -124,13 +146,14 @@
             name: part.word("name", "")?.into(),
             repeats: use_cases[place].repeats,
             cut_off: Span::from_ms(cut_off),
+            in_use: true,
         });
     }
     let (mut customers, mut names) = (Vec::new(), Vec::new());
     for customer in list(settings, "customers")? {
         let part = Part { value: Some(customer), path: "customers" };
         customers.push(Customer { quota: part.number("quotaPerS", f64::INFINITY)? });
-        names.push(part.word("name", "")?.into());
+        names.push(Some(part.word("name", "")?.into()));
     }
     let guarantees = Part::of(settings, "guarantees");
     let machine = Machine {
@@ -181,6 +204,8 @@
     let site = Site {
         use_cases: named,
         customers: names,
+        promises: promises.clone(),
+        calls_below,
         gauges: gauges.iter().filter_map(Value::as_str).map(String::from).collect(),
         tick: machine.tick,
         list_follows_health: specifics.truth("readiness")?,
--- /dev/null
+++ b/crates/hazelgrade-standins/src/callers.rs
@@ -0,0 +1,202 @@
+//! Stands in for callers: send jobs at a pace whatever comes of them, and note each answer.
+
+use crate::unix_ms;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Calls that may be open on a connection; a job that is due past that is not sent.
+const OPEN: usize = 12;
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub node: SocketAddr,
+    pub connections: usize,
+    /// Jobs a second in all.
+    pub rate: f64,
+    /// Asked for in turn.
+    pub use_cases: Vec<String>,
+    pub owner: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fate {
+    Satisfied,
+    Bounced,
+    WrittenOff,
+    /// An answer of any other kind.
+    Wrong,
+    /// The connection ended without an answer.
+    Lost,
+}
+
+/// What became of a job.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub id: String,
+    pub use_case: String,
+    pub sent: Instant,
+    pub after: Duration,
+    pub fate: Fate,
+}
+
+#[derive(Default)]
+struct Record {
+    told: Mutex<Vec<Told>>,
+    /// Answers to calls that were not open.
+    twice: AtomicU64,
+    stop: AtomicBool,
+}
+
+pub struct Callers {
+    record: Arc<Record>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+type Open = Arc<Mutex<BTreeMap<u64, (String, String, Instant)>>>;
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Callers {
+    pub fn start(plan: &Plan) -> Callers {
+        let record = Arc::new(Record::default());
+        let threads = (0..plan.connections).map(|place| {
+            let (plan, record) = (plan.clone(), record.clone());
+            std::thread::spawn(move || call(&plan, place, &record))
+        });
+        Callers { threads: threads.collect(), record }
+    }
+
+    /// What became of the jobs so far.
+    pub fn told(&self) -> Vec<Told> {
+        lock(&self.record.told).clone()
+    }
+
+    /// How many were answered so far, or lost.
+    pub fn count(&self) -> usize {
+        lock(&self.record.told).len()
+    }
+
+    /// Sends no more, waits for the answers that are open, and gives what became of all jobs, and how many answers came
+    /// for none.
+    pub fn stop(self) -> (Vec<Told>, u64) {
+        self.record.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            // A thread that panicked has told what it knew.
+            let _ = thread.join();
+        }
+        (std::mem::take(&mut lock(&self.record.told)), self.record.twice.load(Ordering::Relaxed))
+    }
+}
+
+fn fate(answer: &Value) -> Fate {
+    if answer["result"]["body"].is_string() {
+        return Fate::Satisfied;
+    }
+    match answer["error"]["code"].as_i64() {
+        Some(-32066) => Fate::Bounced,
+        Some(-32000) => Fate::WrittenOff,
+        _ => Fate::Wrong,
+    }
+}
+
+/// One connection after the other, until it is to stop.
+fn call(plan: &Plan, place: usize, record: &Arc<Record>) {
+    let mut count = 0;
+    while !record.stop.load(Ordering::Relaxed) {
+        match TcpStream::connect(plan.node) {
+            Ok(stream) => {
+                let open: Open = Arc::default();
+                let draining = Arc::new(AtomicBool::new(false));
+                let reading = {
+                    let (open, record, draining) = (open.clone(), record.clone(), draining.clone());
+                    let Ok(stream) = stream.try_clone() else { continue };
+                    std::thread::spawn(move || read(stream, &open, &record, &draining))
+                };
+                send(plan, place, &stream, &open, record, &draining, &mut count);
+                // Answers that are open come by their cut-off, which is some seconds.
+                let by = Instant::now() + Duration::from_secs(10);
+                while !lock(&open).is_empty() && !reading.is_finished() && Instant::now() < by {
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                let _ = reading.join();
+                let lost = std::mem::take(&mut *lock(&open));
+                lock(&record.told).extend(lost.into_values().map(|(id, use_case, sent)| Told {
+                    id,
+                    use_case,
+                    sent,
+                    after: sent.elapsed(),
+                    fate: Fate::Lost,
+                }));
+            }
+            Err(_) => std::thread::sleep(Duration::from_millis(10)),
+        }
+    }
+}
+
+fn send(
+    plan: &Plan,
+    place: usize,
+    mut stream: &TcpStream,
+    open: &Open,
+    record: &Record,
+    draining: &AtomicBool,
+    count: &mut u64,
+) {
+    let _ = stream.set_nodelay(true);
+    let gap = Duration::from_secs_f64(plan.connections as f64 / plan.rate.max(0.001));
+    let mut next = Instant::now() + gap.mul_f64(place as f64 / plan.connections.max(1) as f64);
+    while !record.stop.load(Ordering::Relaxed) && !draining.load(Ordering::Relaxed) {
+        std::thread::sleep(next.saturating_duration_since(Instant::now()));
+        next += gap;
+        if lock(open).len() >= OPEN {
+            continue;
+        }
+        *count += 1;
+        let use_case = &plan.use_cases[*count as usize % plan.use_cases.len()];
+        let id = format!("{:04x}{:04x}{:08x}", std::process::id() & 0xffff, place, *count);
+        let job = json!({"jsonrpc": "2.0", "id": *count, "method": use_case, "params": {"req": id, "ts": unix_ms(),
+            "via": place, "owner": plan.owner, "need": 12.5, "level": 0.5, "body": "aGVsbG8="}});
+        lock(open).insert(*count, (id, use_case.clone(), Instant::now()));
+        if stream.write_all(format!("{job}\n").as_bytes()).is_err() {
+            // Nothing of it was read, or its answer is lost with the connection: told as lost by the caller.
+            return;
+        }
+    }
+}
+
+fn read(stream: TcpStream, open: &Open, record: &Record, draining: &AtomicBool) {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    loop {
+        line.clear();
+        match reader.read_line(&mut line) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            Err(_) => return,
+        }
+        let Ok(answer) = serde_json::from_str::<Value>(&line) else { return };
+        if answer["method"] == "draining" {
+            draining.store(true, Ordering::Relaxed);
+            continue;
+        }
+        match answer["id"].as_u64().and_then(|call| lock(open).remove(&call)) {
+            Some((id, use_case, sent)) => {
+                let told = Told { id, use_case, sent, after: sent.elapsed(), fate: fate(&answer) };
+                lock(&record.told).push(told);
+            }
+            None => {
+                record.twice.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-standins/src/control.rs
@@ -0,0 +1,97 @@
+//! A control service that says what a script has it say, right or wrong.
+
+use crate::{SOON, comes_true};
+use hazelgrade_config::{Difference, Document, Version};
+use hazelgrade_stream::protocol::{Content, Offer, Published, Said};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+pub const LINEAGE: &str = "test";
+
+pub struct Control {
+    listener: TcpListener,
+    pub address: SocketAddr,
+}
+
+/// A subscriber's connection, seen from the control service.
+pub struct Subscriber {
+    reader: BufReader<TcpStream>,
+    /// What it said as it came.
+    pub subscribed: Said,
+    nonces: u64,
+}
+
+impl Control {
+    pub fn start() -> std::io::Result<Control> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        Ok(Control { listener, address })
+    }
+
+    /// The next subscriber, and what it says it has; none if none comes in time.
+    pub fn subscriber(&self) -> Option<Subscriber> {
+        let mut came = None;
+        comes_true(SOON, || {
+            came = self.listener.accept().ok();
+            came.is_some()
+        });
+        let (stream, _) = came?;
+        stream.set_nonblocking(false).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(SOON)).ok()?;
+        let mut reader = BufReader::new(stream);
+        let mut line = Vec::new();
+        reader.read_until(b'\n', &mut line).ok()?;
+        let subscribed = Said::decode(&line).ok()?;
+        Some(Subscriber { reader, subscribed, nonces: 0 })
+    }
+}
+
+/// A version of a document, as it should be.
+pub fn version(number: u64, document: &Document) -> Version {
+    Version { number, digest: document.digest() }
+}
+
+impl Subscriber {
+    pub fn write(&mut self, bytes: &[u8]) -> bool {
+        self.reader.get_mut().write_all(bytes).is_ok()
+    }
+
+    /// The next thing it says, but for pongs; none if it ends or says nothing in time.
+    pub fn hear(&mut self) -> Option<Said> {
+        loop {
+            let mut line = Vec::new();
+            self.reader.read_until(b'\n', &mut line).ok().filter(|read| *read > 0)?;
+            match Said::decode(&line).ok()? {
+                Said::Pong => {}
+                said => return Some(said),
+            }
+        }
+    }
+
+    pub fn ping(&mut self) -> bool {
+        self.write(Published::Ping.encode().as_bytes())
+    }
+
+    pub fn offer(&mut self, version: Version, content: Content) -> u64 {
+        self.offer_of(LINEAGE, version, content)
+    }
+
+    pub fn offer_of(&mut self, lineage: &str, version: Version, content: Content) -> u64 {
+        self.nonces += 1;
+        let offer = Offer { nonce: self.nonces, lineage: lineage.into(), version, content };
+        self.write(Published::Offer(offer).encode().as_bytes());
+        self.nonces
+    }
+
+    pub fn offer_whole(&mut self, number: u64, document: &Document) -> u64 {
+        self.offer(version(number, document), Content::Whole(document.to_toml()))
+    }
+
+    pub fn offer_change(&mut self, number: u64, base: (u64, &Document), document: &Document) -> u64 {
+        let difference: Difference = base.1.fields().difference(document.fields());
+        let base = version(base.0, base.1);
+        self.offer(version(number, document), Content::Change { base, difference })
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-standins/src/documents.rs
@@ -0,0 +1,30 @@
+//! Documents for tests and the demo.
+
+use hazelgrade_config::Document;
+
+/// A use case by its name, goal time, cut-off in ms, and earnings.
+pub type Case<'a> = (&'a str, u32, u32, u32);
+
+pub const READ: Case = ("read", 1000, 3000, 1);
+pub const BOOK: Case = ("book", 1000, 3000, 2);
+
+/// A document in TOML with these use cases, so many customers, and further lines at its end.
+pub fn text(cases: &[Case], customers: usize, rest: &str) -> String {
+    let mut text = String::new();
+    for (name, goal, cut_off, earnings) in cases {
+        text.push_str(&format!(
+            "[use_case.{name}]\ngoal_ms = {goal}\ncut_off_ms = {cut_off}\nearnings = {earnings}\npart_without_call = 0.5\n\n"
+        ));
+    }
+    for customer in 0..customers {
+        text.push_str(&format!("[customer.c{customer}]\nquota_per_s = {}\n\n", 100 + customer));
+    }
+    text.push_str(rest);
+    text
+}
+
+/// The same, read.
+pub fn document(cases: &[Case], customers: usize, rest: &str) -> Result<Document, String> {
+    let read = Document::read(&text(cases, customers, rest), "a stand-in's document");
+    read.map_err(|faults| hazelgrade_config::fault::lines(&faults, 5))
+}
--- /dev/null
+++ b/crates/hazelgrade-standins/src/executor.rs
@@ -0,0 +1,220 @@
+//! Stands in for the executor: so many cores, jobs in the order that they come, each for its time; a job may stand at a
+//! call halfway.
+
+use serde_json::{Value, json};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub cores: usize,
+    /// How long a job takes, half of it before its call.
+    pub takes: Duration,
+    /// Jobs stand at a call once.
+    pub calls: bool,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    AtCall(String),
+    Over(String),
+}
+
+struct State {
+    work: Work,
+    free_at: Vec<Instant>,
+    link: Option<TcpStream>,
+    /// All notices, the first with number 1.
+    notices: Vec<Value>,
+    /// Of the jobs that run, when each began.
+    running: BTreeMap<String, Instant>,
+    /// How often each job was started.
+    runs: BTreeMap<String, u32>,
+    due: BinaryHeap<Reverse<(Instant, Due)>>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// Runs until the process ends.
+#[derive(Clone)]
+pub struct Executor {
+    shared: Arc<Shared>,
+    pub address: SocketAddr,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn notice(&mut self, mut notice: Value) {
+        notice["cursor"] = json!(self.notices.len() + 1);
+        self.say(&notice);
+        self.notices.push(notice);
+    }
+
+    fn say(&mut self, message: &Value) {
+        if let Some(link) = &mut self.link
+            && link.write_all(format!("{message}\n").as_bytes()).is_err()
+        {
+            self.link = None;
+        }
+    }
+
+    /// Gives a part of a job to the core that is free first.
+    fn occupy(&mut self, part: Duration) -> Instant {
+        let now = Instant::now();
+        let core = self.free_at.iter_mut().min();
+        core.map_or(now + part, |free_at| {
+            *free_at = (*free_at).max(now) + part;
+            *free_at
+        })
+    }
+
+    fn start(&mut self, id: &str) {
+        if self.running.contains_key(id) {
+            return;
+        }
+        *self.runs.entry(id.to_owned()).or_default() += 1;
+        self.running.insert(id.to_owned(), Instant::now());
+        let Work { takes, calls, .. } = self.work;
+        let (part, due) =
+            if calls { (takes / 2, Due::AtCall(id.into())) } else { (takes, Due::Over(id.into())) };
+        let at = self.occupy(part);
+        self.due.push(Reverse((at, due)));
+    }
+
+    fn go_on(&mut self, id: &str) {
+        if self.running.contains_key(id) {
+            let at = self.occupy(self.work.takes / 2);
+            self.due.push(Reverse((at, Due::Over(id.into()))));
+        }
+    }
+
+    fn end(&mut self, id: &str, fate: &str) {
+        if let Some(began) = self.running.remove(id) {
+            let body = if fate == "good" { "cmVzdWx0" } else { "" };
+            let lasted = began.elapsed().as_millis() as u64;
+            self.notice(json!({"event": "EXIT", "handle": id, "fate": fate, "lasted": lasted, "arg": body}));
+        }
+    }
+
+    fn hear(&mut self, command: &Value) {
+        let id = command["handle"].as_str().unwrap_or_default();
+        match command["event"].as_str() {
+            Some("EXEC") => self.start(id),
+            Some("RETURN" | "BYPASS") => self.go_on(id),
+            Some("KILL") => self.end(id, "cut"),
+            Some("METER") => {
+                let used = self.running.len().min(self.work.cores) as f64 / self.work.cores.max(1) as f64;
+                self.say(&json!({"event": "METERS", "ticket": command["ticket"], "figures": [3, used]}));
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Executor {
+    pub fn start(work: Work) -> std::io::Result<Executor> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let now = Instant::now();
+        let state = State {
+            work,
+            free_at: vec![now; work.cores.max(1)],
+            link: None,
+            notices: Vec::new(),
+            running: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            due: BinaryHeap::new(),
+        };
+        let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new() });
+        let timing = shared.clone();
+        std::thread::spawn(move || keep_time(&timing));
+        let executor = Executor { shared: shared.clone(), address };
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                std::thread::spawn(move || serve(&shared, stream));
+            }
+        });
+        Ok(executor)
+    }
+
+    /// How often each job was started.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        self.shared.lock().runs.clone()
+    }
+
+    pub fn running(&self) -> usize {
+        self.shared.lock().running.len()
+    }
+
+    /// Other work from now on.
+    pub fn change(&self, work: Work) {
+        let mut state = self.shared.lock();
+        state.work = work;
+        state.free_at.resize(work.cores.max(1), Instant::now());
+    }
+
+    /// The node is to start anew: its notices are numbered from 1 again, and its runs are gone.
+    pub fn restart(&self) {
+        let mut state = self.shared.lock();
+        state.link = None;
+        state.notices.clear();
+        state.running.clear();
+        state.due.clear();
+    }
+}
+
+fn keep_time(shared: &Shared) {
+    let mut state = shared.lock();
+    loop {
+        let next = state.due.peek().map(|Reverse((at, _))| *at);
+        match next {
+            Some(at) if at <= Instant::now() => match state.due.pop() {
+                Some(Reverse((_, Due::Over(id)))) => state.end(&id, "good"),
+                Some(Reverse((_, Due::AtCall(id)))) if state.running.contains_key(&id) => {
+                    state.notice(json!({"event": "CALLOUT", "handle": id, "arg": "cXVlcnk="}));
+                }
+                _ => {}
+            },
+            _ => {
+                let wait =
+                    next.map_or(Duration::from_secs(1), |at| at.saturating_duration_since(Instant::now()));
+                let waited = shared.changed.wait_timeout(state, wait);
+                state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            }
+        }
+    }
+}
+
+fn serve(shared: &Shared, stream: TcpStream) {
+    let Ok(writing) = stream.try_clone() else { return };
+    let _ = stream.set_nodelay(true);
+    let mut writing = Some(writing);
+    for line in BufReader::new(stream).lines() {
+        let Ok(Ok(command)) = line.map(|line| serde_json::from_str::<Value>(&line)) else { return };
+        let mut state = shared.lock();
+        if command["event"] == "JOIN" {
+            state.link = writing.take();
+            let read = command["cursor"].as_u64().unwrap_or(0) as usize;
+            state.say(&json!({"event": "WELCOME", "fate": "old", "lasted": 1000}));
+            let missed: Vec<Value> = state.notices.iter().skip(read).cloned().collect();
+            missed.iter().for_each(|notice| state.say(notice));
+        } else {
+            state.hear(&command);
+        }
+        drop(state);
+        shared.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-standins/src/node.rs
@@ -0,0 +1,148 @@
+//! A node as a process, with its files.
+
+use crate::{SOON, comes_true};
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+/// How a node is started.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The program, and the words before `serve`, if any.
+    pub program: PathBuf,
+    pub words: Vec<String>,
+    /// Where its files go.
+    pub folder: PathBuf,
+    pub name: String,
+    pub listen: SocketAddr,
+    pub executor: SocketAddr,
+    pub registry: SocketAddr,
+    pub database: Option<SocketAddr>,
+    pub control: Vec<SocketAddr>,
+    /// The rest of the operator's table `stream`, in TOML.
+    pub stream: String,
+    pub stop_ms: u64,
+    pub log: String,
+}
+
+pub struct Node {
+    pub plan: Plan,
+    child: Child,
+}
+
+/// The settings without use cases: these are streamed.
+pub fn settings() -> Value {
+    json!({
+        "classes": [], "customers": [],
+        "ceilings": {"retryAfter": true, "maxRetryAfter": 1000},
+        "guarantees": {"answerSlack": 60, "coldFrom": 0.5, "warmUp": 100, "drainGrace": 200, "tipMultiple": 8},
+        "quantum": 2, "fleetSize": 1, "clients": {"marksRetry": true},
+        "specifics": {"cores": 4, "memoryKb": 60000, "blowup": 4, "keyKb": 1, "below": "tier", "halt": "drop",
+            "readiness": true, "callers": 4, "signal": "weight", "saidFor": 1000,
+            "linger": 100, "ownStats": ["links", "core_use"]}
+    })
+}
+
+impl Plan {
+    pub fn store(&self) -> PathBuf {
+        self.folder.join(format!("{}.store", self.name))
+    }
+
+    pub fn operator(&self) -> PathBuf {
+        self.folder.join(format!("{}.operator.toml", self.name))
+    }
+
+    /// Writes its files and starts it.
+    pub fn start(&self) -> std::io::Result<Node> {
+        let configuration = json!({
+            "name": self.name, "listen": self.listen.to_string(), "seed": "00000000000000ff",
+            "stop_ms": self.stop_ms, "executor": self.executor.to_string(),
+            "registry": self.registry.to_string(),
+            "db": self.database.map(|database| database.to_string()),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings()
+        });
+        let at = self.folder.join(format!("{}.json", self.name));
+        std::fs::write(&at, configuration.to_string())?;
+        let control: Vec<String> = self.control.iter().map(ToString::to_string).collect();
+        let operator =
+            format!("[stream]\ncontrol = {control:?}\nstore = {:?}\n{}\n", self.store(), self.stream);
+        std::fs::write(self.operator(), operator)?;
+        let child = self.spawn(&at)?;
+        Ok(Node { plan: self.clone(), child })
+    }
+
+    fn spawn(&self, configuration: &Path) -> std::io::Result<Child> {
+        let mut command = Command::new(&self.program);
+        command.args(&self.words).arg("serve").arg("--config").arg(configuration);
+        command.arg("--operator").arg(self.operator()).args(["--log", &self.log]);
+        command.env_remove("PROXY_CONFIG").stdin(Stdio::null());
+        if self.log == "off" {
+            command.stderr(Stdio::null());
+        }
+        command.spawn()
+    }
+}
+
+impl Node {
+    pub fn signal(&self, name: &str) -> bool {
+        let id = self.child.id().to_string();
+        Command::new("kill").args([&format!("-{name}"), &id]).status().is_ok_and(|status| status.success())
+    }
+
+    /// Killed outright.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Started again with the files it had.
+    pub fn start_again(&mut self) -> std::io::Result<()> {
+        self.kill();
+        let at = self.plan.folder.join(format!("{}.json", self.plan.name));
+        self.child = self.plan.spawn(&at)?;
+        Ok(())
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// How it ended, once it has ended by itself.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        let mut status = None;
+        comes_true(SOON, || {
+            status = self.child.try_wait().ok().flatten();
+            status.is_some()
+        });
+        status
+    }
+
+    /// What it says to a health check; none if it can't be reached in time.
+    pub fn check(&self) -> Option<bool> {
+        use std::io::{BufRead, BufReader, Write};
+        let mut stream = None;
+        comes_true(SOON, || {
+            stream = TcpStream::connect(self.plan.listen).ok();
+            stream.is_some()
+        });
+        let stream = stream?;
+        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+        (&stream).write_all(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"ping\"}\n").ok()?;
+        let mut line = String::new();
+        BufReader::new(&stream).read_line(&mut line).ok()?;
+        serde_json::from_str::<Value>(&line).ok()?["result"]["up"].as_bool()
+    }
+
+    /// Waits until it is ready, or not.
+    pub fn becomes(&self, ready: bool) -> bool {
+        comes_true(SOON, || self.check() == Some(ready))
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-stream/src/service.rs
@@ -0,0 +1,332 @@
+//! A small control service: watches a folder, publishes what is in it, and says who runs what.
+
+use crate::admission::Admission;
+use crate::follow::bounded_line;
+use crate::protocol::{LONGEST_LINE, LONGEST_SAID, Said};
+use crate::publisher::{Action, Connection, Counter, Event, Node, Publisher, Standing};
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use futures_lite::io::BufReader;
+use hazelgrade::time::Time;
+use hazelgrade_config::{Document, Version, fault};
+use hazelgrade_net::ending::ConnectionEnd;
+use hazelgrade_net::outbox::Outbox;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{BuildHasher, RandomState};
+use std::io::{self, BufRead, ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+/// The document in the folder, and the counter beside it.
+pub const DOCUMENT: &str = "serving.toml";
+pub const COUNTER: &str = ".published.json";
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// A subscriber's message is short; half of one for so long is none.
+const MESSAGE_WITHIN: Duration = Duration::from_secs(5);
+/// Connections at once; past that they are closed unheard, and come back with jitter.
+const CONNECTIONS: usize = 8192;
+/// Two offers of the longest kind.
+const OUTBOX_BYTES: usize = 2 * LONGEST_LINE;
+/// What is said last on a connection that is closed goes out within this.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(5);
+const BACKLOG: i32 = 4096;
+const FAULTS_NAMED: usize = 20;
+
+/// How a control service is set up.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub documents: PathBuf,
+    pub listen: SocketAddr,
+    /// Named by the operator; else as in the folder, else made up and kept there.
+    pub lineage: Option<String>,
+    /// Subscribers that are taken on in a second for good, and at once after some quiet.
+    pub admitted: (f64, f64),
+}
+
+struct Peer {
+    outbox: Rc<Outbox>,
+    reader: Task<()>,
+    writer: Task<ConnectionEnd>,
+}
+
+pub struct Service {
+    setup: Setup,
+    tasks: Rc<LocalExecutor<'static>>,
+    publisher: RefCell<Publisher>,
+    peers: RefCell<BTreeMap<Connection, Peer>>,
+    connections: Cell<Connection>,
+    /// What is wrong with the folder's document, if anything.
+    folder: RefCell<Option<String>>,
+    began: Instant,
+}
+
+/// The counter as it lies in the folder; none if there is none yet.
+pub fn read_counter(documents: &Path) -> Result<Option<Counter>, String> {
+    let path = documents.join(COUNTER);
+    let text = match std::fs::read(&path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(format!("{}: {error}", path.display())),
+    };
+    let wrong =
+        |field: &str| format!("{}: field {field}: expected it as this program writes it", path.display());
+    let value: Value =
+        serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+    let lineage = value["lineage"].as_str().ok_or_else(|| wrong("lineage"))?.to_owned();
+    let last = match &value["last"] {
+        Value::Null => None,
+        last => {
+            let digest = last["digest"].as_str().and_then(|digest| digest.parse().ok());
+            let both = last["number"].as_u64().zip(digest);
+            let (number, digest) = both.ok_or_else(|| wrong("last"))?;
+            Some(Version { number, digest })
+        }
+    };
+    Ok(Some(Counter { lineage, last }))
+}
+
+/// Replaces the counter in one step.
+fn write_counter(documents: &Path, counter: &Counter) -> io::Result<()> {
+    let last = counter.last.map(|last| json!({"number": last.number, "digest": last.digest.to_string()}));
+    let mut file = tempfile::NamedTempFile::new_in(documents)?;
+    file.write_all(json!({"lineage": counter.lineage, "last": last}).to_string().as_bytes())?;
+    file.as_file().sync_all()?;
+    file.persist(documents.join(COUNTER))?;
+    std::fs::File::open(documents)?.sync_all()
+}
+
+fn made_up_lineage() -> String {
+    format!("l{:016x}", RandomState::new().hash_one(SystemTime::now()))
+}
+
+/// Binds with room for a fleet that connects at once.
+fn bind(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let listener = Async::<TcpListener>::bind(address)?;
+    rustix::net::listen(&listener, BACKLOG)?;
+    Ok(listener)
+}
+
+/// Serves until it is dropped; an error if it can't start.
+pub async fn serve(tasks: Rc<LocalExecutor<'static>>, setup: Setup) -> Result<(), String> {
+    let listener = bind(setup.listen).map_err(|error| format!("--listen {}: {error}", setup.listen))?;
+    let kept = read_counter(&setup.documents)?;
+    let lineage = setup.lineage.clone().or_else(|| kept.as_ref().map(|kept| kept.lineage.clone()));
+    let lineage = lineage.unwrap_or_else(made_up_lineage);
+    // Numbers of another lineage say nothing about this one.
+    let last = kept.filter(|kept| kept.lineage == lineage).and_then(|kept| kept.last);
+    let counter = Counter { lineage, last };
+    write_counter(&setup.documents, &counter)
+        .map_err(|error| format!("--documents {}: {error}", setup.documents.display()))?;
+    tracing::info!(listen = %setup.listen, lineage = counter.lineage, ?last, "control service");
+    let admission = Admission::new(setup.admitted.0, setup.admitted.1);
+    let service = Rc::new(Service {
+        setup,
+        tasks: tasks.clone(),
+        publisher: RefCell::new(Publisher::new(counter, admission)),
+        peers: RefCell::default(),
+        connections: Cell::new(0),
+        folder: RefCell::default(),
+        began: Instant::now(),
+    });
+    let watching = service.clone();
+    let _watching = tasks.spawn(async move { watching.watch().await });
+    service.accept(&listener).await;
+    Ok(())
+}
+
+impl Service {
+    fn now(&self) -> Time {
+        Time::from_ms(self.began.elapsed().as_secs_f64() * 1000.0)
+    }
+
+    async fn accept(self: &Rc<Self>, listener: &Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if self.peers.borrow().len() < CONNECTIONS => self.start(stream),
+                Ok(_) => {}
+                Err(error) => {
+                    tracing::debug!(%error, "a connection could not be accepted");
+                    Timer::after(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn start(self: &Rc<Self>, stream: Async<TcpStream>) {
+        if stream.get_ref().set_nodelay(true).is_err() {
+            return;
+        }
+        self.connections.set(self.connections.get() + 1);
+        let (connection, stream) = (self.connections.get(), Rc::new(stream));
+        let outbox = Rc::new(Outbox::new(OUTBOX_BYTES));
+        let writer = outbox.clone().writer(&self.tasks, stream.clone());
+        let service = self.clone();
+        let reader = self.tasks.spawn(async move {
+            let end = service.read(connection, &stream).await;
+            tracing::debug!(connection, ?end, "a subscriber's connection ended");
+            service.tell(Event::Gone(connection));
+            // This task is the one that is dropped with the entry, as its last step.
+            if let Some(peer) = service.peers.borrow_mut().remove(&connection) {
+                peer.reader.detach();
+            }
+        });
+        self.peers.borrow_mut().insert(connection, Peer { outbox, reader, writer });
+        self.tell(Event::Came(connection));
+    }
+
+    async fn read(&self, connection: Connection, stream: &Async<TcpStream>) -> ConnectionEnd {
+        let mut reader = BufReader::new(stream);
+        let mut line = Vec::new();
+        loop {
+            if let Err(end) = bounded_line(&mut reader, &mut line, LONGEST_SAID, MESSAGE_WITHIN).await {
+                return end;
+            }
+            match Said::decode(&line) {
+                Ok(said) => self.tell(Event::Heard(connection, said)),
+                Err(why) => {
+                    tracing::warn!(why, "a subscriber sent what can't be read");
+                    return ConnectionEnd::Unreadable;
+                }
+            }
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut out = Vec::new();
+            self.publisher.borrow_mut().take(self.now(), event, &mut out);
+            out.into_iter().for_each(|action| self.carry_out(action, &mut events));
+        }
+    }
+
+    fn carry_out(&self, action: Action, events: &mut VecDeque<Event>) {
+        match action {
+            Action::Say(connection, published) => self.put(connection, &published.encode()),
+            Action::Close(connection) => self.close(connection),
+            Action::Count(counter) => {
+                // Small and seldom: publishing waits for the disk anyway.
+                let done = write_counter(&self.setup.documents, &counter);
+                events.push_back(Event::Counted(done.map_err(|error| error.to_string())));
+            }
+            Action::Report(connection, call) => {
+                let report = json!({"jsonrpc": "2.0", "id": call, "result": self.report()});
+                self.put(connection, &format!("{report}\n"));
+            }
+            Action::Note(text) => tracing::info!("{text}"),
+        }
+    }
+
+    fn put(&self, connection: Connection, line: &str) {
+        if let Some(peer) = self.peers.borrow().get(&connection) {
+            peer.outbox.put(line.as_bytes());
+        }
+    }
+
+    /// Closes a connection when what was said last on it is out.
+    fn close(&self, connection: Connection) {
+        let Some(Peer { outbox, reader, writer }) = self.peers.borrow_mut().remove(&connection) else {
+            return;
+        };
+        let closing = async move {
+            let late = async {
+                Timer::after(LAST_WORDS).await;
+            };
+            or(outbox.emptied(), late).await;
+            drop((reader, writer));
+        };
+        self.tasks.spawn(closing).detach();
+        self.publisher.borrow_mut().take(self.now(), Event::Gone(connection), &mut Vec::new());
+    }
+
+    /// Looks at the folder now and then, and has pings sent.
+    async fn watch(&self) {
+        let (path, mut before) = (self.setup.documents.join(DOCUMENT), None);
+        loop {
+            let seen = std::fs::metadata(&path).ok().map(|about| (about.modified().ok(), about.len()));
+            if seen != before || seen.is_none() {
+                before = seen;
+                self.look(&path);
+            }
+            self.tell(Event::Woke);
+            Timer::after(LOOK_EVERY).await;
+        }
+    }
+
+    fn look(&self, path: &Path) {
+        let shown = path.display().to_string();
+        let read = std::fs::read_to_string(path).map_err(|error| format!("{shown}: {error}"));
+        let document = read.and_then(|text| {
+            Document::read(&text, &shown).map_err(|faults| fault::lines(&faults, FAULTS_NAMED))
+        });
+        let fault = document.as_ref().err().cloned();
+        if let Some(fault) = &fault
+            && self.folder.borrow().as_ref() != Some(fault)
+        {
+            tracing::error!("not published: {fault}");
+        }
+        self.folder.replace(fault);
+        if let Ok(document) = document {
+            self.tell(Event::Changed(document));
+        }
+    }
+
+    fn report(&self) -> Value {
+        let publisher = self.publisher.borrow();
+        let nodes: Vec<Value> = publisher.nodes().map(report_node).collect();
+        json!({
+            "lineage": publisher.lineage(),
+            "version": publisher.current().map(|version| version.to_string()),
+            "folder": *self.folder.borrow(),
+            "nodes": nodes,
+        })
+    }
+}
+
+fn report_node(node: &Node) -> Value {
+    let (why, staged) = match &node.standing {
+        Standing::WentBack(why) => (Some(why.clone()), None),
+        Standing::TurnedDown(refusal) => (Some(refusal.reason()), None),
+        Standing::Good { staged } | Standing::OnTrial { staged } => (None, Some(staged)),
+        Standing::Open => (None, None),
+    };
+    json!({
+        "name": node.name,
+        "program": node.program,
+        "connected": node.connection.is_some(),
+        "has": node.has.map(|version| version.to_string()),
+        "of": node.of.map(|version| version.to_string()),
+        "standing": node.standing.word(),
+        "why": why,
+        "staged": staged,
+    })
+}
+
+/// Asks a control service who runs what.
+pub fn status(control: SocketAddr, within: Duration) -> Result<Value, String> {
+    let failed = |error: io::Error| format!("{control}: {error}");
+    let stream = TcpStream::connect_timeout(&control, within).map_err(failed)?;
+    stream.set_read_timeout(Some(within)).map_err(failed)?;
+    (&stream).write_all(Said::Status { call: 1 }.encode().as_bytes()).map_err(failed)?;
+    let mut reader = io::BufReader::new(&stream);
+    // A ping may come first.
+    for _ in 0..4 {
+        let mut line = String::new();
+        reader.read_line(&mut line).map_err(failed)?;
+        let mut value: Value = serde_json::from_str(&line)
+            .map_err(|_| format!("{control}: it does not answer as a control service"))?;
+        if value.get("id").is_some() {
+            return Ok(value["result"].take());
+        }
+        if value["method"] == "retry" {
+            return Err(format!("{control}: it is busy, try again in {} ms", value["params"]["after_ms"]));
+        }
+    }
+    Err(format!("{control}: no answer"))
+}
--- /dev/null
+++ b/crates/hazelgrade-stream/tests/histories.rs
@@ -0,0 +1,383 @@
+//! Generated histories of a node, against a plain model of what it may serve and what it must answer.
+
+mod common;
+
+use common::*;
+use hazelgrade::time::{Span, Time};
+use hazelgrade_config::Version;
+use hazelgrade_stream::kept::{Held, Kept};
+use hazelgrade_stream::protocol::{Content, Offer, Published, Refusal, Said};
+use hazelgrade_stream::subscriber::{Action, Event, Serving, Subscriber};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::{BTreeSet, VecDeque};
+
+/// What happens to a node.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A version of this number that says this, announced as saying that.
+    Offer {
+        number: u64,
+        says: u64,
+        announced: u64,
+    },
+    Malformed {
+        number: u64,
+    },
+    Change {
+        number: u64,
+        base: u64,
+        says: u64,
+    },
+    OtherLineage {
+        number: u64,
+    },
+    Served {
+        well: bool,
+    },
+    Later,
+    LinkBreaks,
+    /// The next write fails.
+    DiskFails,
+    /// What is offered next can't be served here.
+    NotHere,
+    Dies,
+    /// Told to leave, and started again.
+    Leaves,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let mut small = |most: u64| u64::arbitrary(g) % most;
+        let (number, says, other) = (1 + small(8), 1 + small(5), 1 + small(5));
+        match small(20) {
+            0..7 => Step::Offer { number, says, announced: says },
+            7 => Step::Offer { number, says, announced: other },
+            8 => Step::Malformed { number },
+            9..11 => Step::Change { number, base: other, says },
+            11 => Step::OtherLineage { number },
+            12..14 => Step::Served { well: true },
+            14 => Step::Served { well: false },
+            15 => Step::Later,
+            16 => Step::LinkBreaks,
+            17 => {
+                if small(2) == 0 {
+                    Step::DiskFails
+                } else {
+                    Step::NotHere
+                }
+            }
+            18 => Step::Dies,
+            _ => Step::Leaves,
+        }
+    }
+}
+
+/// The plain model: what the node said decides what it may serve.
+#[derive(Default)]
+struct Plain {
+    disk: Kept,
+    /// Said to be good, ever.
+    good: BTreeSet<Version>,
+    acknowledged: BTreeSet<Version>,
+    /// Acknowledged, and not yet said to be good or bad.
+    trying: Option<Version>,
+    /// The last that was said to be good.
+    last: Option<Version>,
+    deaths: Vec<(Version, u32)>,
+}
+
+fn document_of_the_file() -> hazelgrade_config::Digest {
+    document(0).digest()
+}
+
+struct World {
+    node: Subscriber,
+    plain: Plain,
+    now: Time,
+    up: bool,
+    nonce: u64,
+    disk_fails: bool,
+    not_here: bool,
+    /// The contents in effect.
+    effect: Option<hazelgrade_config::Digest>,
+    said: Vec<Said>,
+    todo: VecDeque<Action>,
+    busy: bool,
+}
+
+impl World {
+    fn new() -> World {
+        let now = at(1_000_000.0);
+        let (node, first) = start(now, Kept::default(), Some(document(0)));
+        let mut world = World {
+            node,
+            plain: Plain::default(),
+            now,
+            up: false,
+            nonce: 0,
+            disk_fails: false,
+            not_here: false,
+            effect: None,
+            said: Vec::new(),
+            todo: VecDeque::new(),
+            busy: false,
+        };
+        world.carry_out(first);
+        world
+    }
+
+    /// Does what the node wants, and all that follows, writes included, before anything else happens.
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        self.todo.extend(actions);
+        if std::mem::replace(&mut self.busy, true) {
+            return;
+        }
+        while let Some(action) = self.todo.pop_front() {
+            match action {
+                Action::Connect { at, .. } => {
+                    assert!(at.since(self.now) <= Span::from_ms(30_000.0), "it stays away too long");
+                    self.now = self.now.max(at);
+                    self.up = true;
+                    self.tell(Event::Up);
+                }
+                Action::HangUp => {
+                    self.up = false;
+                    self.tell(Event::Down);
+                }
+                Action::Keep { ticket, kept } => {
+                    let done =
+                        if std::mem::take(&mut self.disk_fails) { Err("full".to_owned()) } else { Ok(()) };
+                    if done.is_ok() {
+                        self.plain.disk = Kept::decode(&kept.encode()).expect("it reads what it wrote");
+                        assert_eq!(self.plain.disk, kept);
+                    }
+                    self.tell(Event::Stored { ticket, done });
+                }
+                Action::TakeEffect { document } => {
+                    // What served before can be gone back to.
+                    let good = self.plain.disk.good.as_ref().map(|good| good.version.digest);
+                    let digest = document.as_ref().map(|document| document.digest());
+                    let before = [good, Some(document_of_the_file())].contains(&digest);
+                    let fails = !before && std::mem::take(&mut self.not_here);
+                    if !fails {
+                        self.effect = document.map(|document| document.digest());
+                    }
+                    self.tell(Event::TookEffect(if fails { Err("no".into()) } else { Ok(()) }));
+                }
+                Action::Say(said) => {
+                    assert!(self.up, "said on no connection");
+                    self.hear(&said);
+                    self.said.push(said);
+                }
+                Action::Note(_) => {}
+            }
+        }
+        self.busy = false;
+    }
+
+    fn tell(&mut self, event: Event) {
+        let actions = take(&mut self.node, self.now, event);
+        self.carry_out(actions);
+    }
+
+    fn hear(&mut self, said: &Said) {
+        let text = said.encode();
+        assert_eq!(Said::decode(text.as_bytes()).as_ref(), Ok(said), "{text}");
+        match said {
+            Said::Acknowledged { version, trial, .. } => {
+                self.plain.acknowledged.insert(*version);
+                if *trial {
+                    self.plain.trying = Some(*version);
+                } else {
+                    self.plain.good.insert(*version);
+                    self.plain.last = Some(*version);
+                }
+            }
+            Said::Settled { version, failed: None } => {
+                assert_eq!(self.plain.trying.take(), Some(*version), "good without a trial");
+                self.plain.good.insert(*version);
+                self.plain.last = Some(*version);
+            }
+            Said::Settled { failed: Some(_), .. } => self.plain.trying = None,
+            _ => {}
+        }
+    }
+
+    /// Dies, or leaves and ends; what is on the disk is what it starts from.
+    fn starts_again(&mut self, died: bool) {
+        let kept = self.plain.disk.clone();
+        if let Some((version, _)) = kept.trial.as_ref().filter(|_| died) {
+            let of = self.plain.deaths.iter_mut().find(|(of, _)| of.digest == version.digest);
+            match of {
+                Some((_, count)) => *count += 1,
+                None => self.plain.deaths.push((*version, 1)),
+            }
+        }
+        self.plain.trying = None;
+        self.up = false;
+        let (node, first) = start(self.now, kept, Some(document(0)));
+        self.node = node;
+        self.carry_out(first);
+        // A good version that the disk has is served from the first moment on, before any control service is heard.
+        let good = self.plain.disk.good.as_ref().map(|good: &Held| good.version);
+        assert_eq!(self.node.serving(), good.map_or(Serving::File, Serving::Good));
+    }
+
+    fn step(&mut self, step: &Step) {
+        self.nonce += 1;
+        let (nonce, before, said) = (self.nonce, self.node.serving(), self.said.len());
+        let offer = |number, says, lineage: &str, content| {
+            let version = version(number, says);
+            Event::Heard(Published::Offer(Offer { nonce, lineage: lineage.into(), version, content }))
+        };
+        match step {
+            Step::Offer { number, says, announced } => {
+                let content = Content::Whole(document(*says).to_toml());
+                self.tell(offer(*number, *announced, LINEAGE, content));
+                if says != announced {
+                    self.nothing_came_of_it(&before, said);
+                }
+            }
+            Step::Malformed { number } => {
+                let content = Content::Whole("[use_case.a]\ngoal_ms = \"soon\"".into());
+                self.tell(offer(*number, 9, LINEAGE, content));
+                self.nothing_came_of_it(&before, said);
+            }
+            Step::Change { number, base, says } => {
+                let difference = document(*base).fields().difference(document(*says).fields());
+                let content = Content::Change { base: version(*base, *base), difference };
+                self.tell(offer(*number, *says, LINEAGE, content));
+            }
+            Step::OtherLineage { number } => {
+                let known = self.plain.disk.lineage.is_some();
+                if known {
+                    let content = Content::Whole(document(1).to_toml());
+                    self.tell(offer(*number, 1, "other", content));
+                    self.nothing_came_of_it(&before, said);
+                }
+            }
+            Step::Served { well } => {
+                for _ in 0..3 {
+                    self.now = self.now + Span::from_ms(100.0);
+                    self.tell(served(20.0, if *well { 1.0 } else { 0.1 }));
+                }
+            }
+            Step::Later => {
+                self.now = self.now + Span::from_ms(1001.0);
+                self.tell(served(0.0, 1.0));
+            }
+            Step::LinkBreaks => {
+                self.up = false;
+                self.tell(Event::Down);
+            }
+            Step::DiskFails => self.disk_fails = true,
+            Step::NotHere => self.not_here = true,
+            Step::Dies => self.starts_again(true),
+            Step::Leaves => {
+                self.tell(Event::Leaving);
+                let (before, said) = (self.node.serving(), self.said.len());
+                self.tell(offer(20, 4, LINEAGE, Content::Whole(document(4).to_toml())));
+                self.nothing_came_of_it(&before, said);
+                assert!(matches!(self.said.last(), Some(Said::TurnedDown { refusal: Refusal::Leaving, .. })));
+                // A write that failed is tried again within its pause: the drain lasts longer here.
+                self.now = self.now + Span::from_ms(60_000.0);
+                self.tell(Event::Woke);
+                self.starts_again(false);
+            }
+        }
+        self.check();
+    }
+
+    /// What can't be taken is turned down, and what is served stays.
+    fn nothing_came_of_it(&self, before: &Serving, said: usize) {
+        assert_eq!(self.node.serving(), *before);
+        let answer = self.said[said..].iter().find(|said| !matches!(said, Said::Settled { .. }));
+        assert!(matches!(answer, Some(Said::TurnedDown { .. } | Said::Acknowledged { .. })), "{answer:?}");
+    }
+
+    fn check(&self) {
+        let serving = self.node.serving();
+        let digest = match serving {
+            Serving::Nothing => None,
+            Serving::File => Some(document(0).digest()),
+            Serving::Good(version) => {
+                // It is kept before it is said, and there may be nobody to say it to.
+                let kept = self.plain.disk.good.as_ref().is_some_and(|good| good.version == version);
+                let known = kept && self.plain.acknowledged.contains(&version);
+                assert!(known || self.plain.good.contains(&version), "{version} was never good");
+                Some(version.digest)
+            }
+            Serving::OnTrial(version) => {
+                assert_eq!(self.plain.trying, Some(version), "in effect without having been acknowledged");
+                Some(version.digest)
+            }
+        };
+        assert_eq!(self.effect, digest, "what is in effect is not what it says");
+        // Once something was good there is always something good to start by.
+        if self.plain.last.is_some() {
+            assert!(self.plain.disk.good.is_some(), "the last good version is lost");
+        }
+        for (version, deaths) in &self.plain.deaths {
+            let in_effect = self.effect == Some(version.digest);
+            assert!(
+                *deaths < 2 || !in_effect || self.plain.good.iter().any(|good| good.digest == version.digest)
+            );
+        }
+    }
+}
+
+#[test]
+fn at_every_step_a_node_serves_by_its_file_by_what_was_good_or_by_what_it_acknowledged() {
+    fn holds(steps: Vec<Step>) -> bool {
+        let mut world = World::new();
+        steps.iter().for_each(|step| world.step(step));
+        true
+    }
+    QuickCheck::new().tests(3000).quickcheck(holds as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn of_versions_that_come_during_a_trial_the_latest_waits_and_a_step_back_does_not() {
+    let mut world = World::new();
+    let offer = |world: &mut World, number, says| world.step(&Step::Offer { number, says, announced: says });
+    offer(&mut world, 1, 1);
+    world.step(&Step::Later);
+    assert_eq!(world.node.serving(), Serving::Good(version(1, 1)));
+    offer(&mut world, 2, 2);
+    offer(&mut world, 3, 3);
+    offer(&mut world, 4, 4);
+    assert_eq!(world.node.serving(), Serving::OnTrial(version(2, 2)));
+    let superseded = Refusal::Superseded { by: version(4, 4) };
+    assert!(
+        world
+            .said
+            .iter()
+            .any(|said| matches!(said, Said::TurnedDown { refusal, .. } if *refusal == superseded))
+    );
+    world.step(&Step::Later);
+    assert_eq!(world.node.serving(), Serving::OnTrial(version(4, 4)));
+    // What was good before the trial, published anew, is in effect at once.
+    offer(&mut world, 5, 2);
+    assert_eq!(world.node.serving(), Serving::Good(version(5, 2)));
+}
+
+#[test]
+fn a_silent_control_service_is_left_for_the_next_and_one_that_asks_for_time_is_given_it() {
+    let (mut node, first) = start(at(0.0), Kept::default(), None);
+    assert!(first.contains(&Action::TakeEffect { document: None }), "nothing to serve by");
+    take(&mut node, at(10.0), Event::Up);
+    let wakes = node.wakes_at().expect("it wants to be woken");
+    assert!(!take(&mut node, at(11.0), Event::Woke).contains(&Action::HangUp));
+    assert!(take(&mut node, wakes, Event::Woke).contains(&Action::HangUp));
+    let [Action::Connect { place: 1, .. }] = take(&mut node, wakes, Event::Down)[..] else {
+        panic!("not the next")
+    };
+    take(&mut node, wakes, Event::Up);
+    let retry = Event::Heard(Published::Retry(Span::from_ms(5000.0)));
+    assert!(take(&mut node, wakes, retry).contains(&Action::HangUp));
+    let [Action::Connect { place: 1, at }] = take(&mut node, wakes, Event::Down)[..] else {
+        panic!("not the same")
+    };
+    let away = at.since(wakes);
+    assert!(away >= Span::from_ms(5000.0) && away <= Span::from_ms(5500.0), "{away:?}");
+}
--- /dev/null
+++ b/crates/hazelgrade-stream/tests/states.rs
@@ -0,0 +1,395 @@
+//! All states, within bounds, of a publisher and a node over a channel that loses, doubles and reorders messages, while
+//! links break, both sides die and start again, and writes fail.
+
+mod common;
+
+use common::*;
+use hazelgrade::time::{Span, Time};
+use hazelgrade_config::Digest;
+use hazelgrade_stream::admission::Admission;
+use hazelgrade_stream::kept::Kept;
+use hazelgrade_stream::protocol::{Published, Said};
+use hazelgrade_stream::publisher::{self, Counter, Publisher};
+use hazelgrade_stream::subscriber::{Action, Event, Serving, Subscriber};
+use stateright::{Checker, Model, Property};
+use std::hash::{Hash, Hasher};
+
+/// How often each kind of trouble may come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Left {
+    publishes: u64,
+    breaks: u8,
+    losses: u8,
+    deaths: u8,
+    restarts: u8,
+    disk_faults: u8,
+    trials: u8,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    node: Subscriber,
+    publisher: Publisher,
+    /// What each side has on its disk.
+    kept: Kept,
+    counter: Counter,
+    /// A write of the node that is under way.
+    writing: Option<(u64, Kept)>,
+    connection: u64,
+    up: bool,
+    to_node: Vec<Published>,
+    to_publisher: Vec<Said>,
+    left: Left,
+    now: Time,
+    effect: Option<Digest>,
+    acknowledged: Vec<Digest>,
+    /// Said to be good, and to have failed.
+    good: Vec<Digest>,
+    failed: Vec<Digest>,
+    broken: Option<String>,
+    /// What tells this state from others: all of it but times and chance.
+    key: String,
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &World) -> bool {
+        self.key == other.key
+    }
+}
+
+impl Eq for World {}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.key.hash(state);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Publish,
+    ToNode(usize),
+    ToPublisher(usize),
+    LoseToNode(usize),
+    LoseToPublisher(usize),
+    Break,
+    Connect,
+    Written,
+    WriteFails,
+    NodeDies { written: bool },
+    PublisherRestarts { forgets: bool },
+    TrialEnds { well: bool },
+}
+
+/// A text without what differs between states that are the same.
+fn without_time(text: &str) -> String {
+    let mut rest = text;
+    let mut key = String::new();
+    while let Some((before, after)) = ["Time(", "Span(", "Chance {"]
+        .iter()
+        .filter_map(|word| rest.find(word).map(|at| (at, word.len())))
+        .min()
+        .map(|(at, length)| (&rest[..at], &rest[at + length..]))
+    {
+        key.push_str(before);
+        rest = after.split_once([')', '}']).map_or("", |(_, rest)| rest);
+    }
+    key + rest
+}
+
+impl World {
+    fn keyed(mut self) -> World {
+        self.key.clear();
+        let World { node, publisher, kept, counter, writing, to_node, to_publisher, left, .. } = &self;
+        let parts = (node, publisher, kept, counter, writing);
+        let rest = (to_node, to_publisher, left, self.up, &self.good, &self.failed, &self.acknowledged);
+        self.key = without_time(&format!("{parts:?}{rest:?}{:?}{:?}", self.effect, self.broken));
+        self
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.node.take(self.now, event, &mut out);
+        self.carry_out(out);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Say(said) => {
+                    match &said {
+                        Said::Acknowledged { version, .. } => self.acknowledged.push(version.digest),
+                        Said::Settled { version, failed: None } => self.good.push(version.digest),
+                        Said::Settled { version, failed: Some(_) } => self.failed.push(version.digest),
+                        _ => {}
+                    }
+                    self.to_publisher.push(said);
+                }
+                Action::Keep { ticket, kept } => self.writing = Some((ticket, kept)),
+                Action::TakeEffect { document } => {
+                    self.effect = document.map(|document| document.digest());
+                    self.tell(Event::TookEffect(Ok(())));
+                }
+                Action::HangUp => {
+                    self.up = false;
+                    self.tell(Event::Down);
+                }
+                Action::Connect { .. } | Action::Note(_) => {}
+            }
+        }
+    }
+
+    fn publisher(&mut self, event: publisher::Event) {
+        let mut out = Vec::new();
+        self.publisher.take(self.now, event, &mut out);
+        for action in out {
+            match action {
+                publisher::Action::Say(connection, said) if connection == self.connection && self.up => {
+                    self.to_node.push(said);
+                }
+                publisher::Action::Count(counter) => {
+                    // No number stands for two contents, whatever was forgotten.
+                    self.counter = counter;
+                    self.publisher(publisher::Event::Counted(Ok(())));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn connect(&mut self) {
+        self.connection += 1;
+        self.up = true;
+        (self.to_node, self.to_publisher) = (Vec::new(), Vec::new());
+        self.publisher(publisher::Event::Came(self.connection));
+        self.tell(Event::Up);
+    }
+
+    fn disconnect(&mut self) {
+        self.up = false;
+        (self.to_node, self.to_publisher) = (Vec::new(), Vec::new());
+        self.publisher(publisher::Event::Gone(self.connection));
+    }
+
+    fn restart_node(&mut self) {
+        self.writing = None;
+        let (node, first) = start(self.now, self.kept.clone(), Some(document(0)));
+        self.node = node;
+        self.carry_out(first);
+        self.tell(served(100.0, 1.0));
+    }
+
+    fn check(&mut self) {
+        let file = document(0).digest();
+        let serves = match self.node.serving() {
+            Serving::Nothing => self.effect.is_none(),
+            Serving::File => self.effect == Some(file),
+            // Good ones may be known only to the disk: the node died before it could say so.
+            Serving::Good(version) => {
+                let known = self.kept.good.as_ref().is_some_and(|good| good.version.digest == version.digest)
+                    || self.good.contains(&version.digest);
+                known && self.effect == Some(version.digest)
+            }
+            Serving::OnTrial(version) => {
+                self.effect == Some(version.digest)
+                    && self.kept.trial.as_ref().is_some_and(|(on, _)| *on == version)
+                    || self.kept.good.as_ref().is_some_and(|good| good.version == version)
+            }
+        };
+        if !serves {
+            self.broken = Some(format!("serves {:?} with {:?} in effect", self.node.serving(), self.effect));
+        }
+        if !self.good.is_empty() && self.kept.good.is_none() {
+            self.broken = Some("what was said to be good is not kept".into());
+        }
+    }
+}
+
+struct Bounds(Left);
+
+impl Model for Bounds {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let now = at(1_000_000.0);
+        let (node, first) = start(now, Kept::default(), Some(document(0)));
+        let counter = Counter { lineage: LINEAGE.into(), last: None };
+        let publisher = Publisher::new(counter.clone(), Admission::new(1000.0, 1000.0));
+        let mut world = World {
+            node,
+            publisher,
+            kept: Kept::default(),
+            counter,
+            writing: None,
+            connection: 0,
+            up: false,
+            to_node: Vec::new(),
+            to_publisher: Vec::new(),
+            left: self.0,
+            now,
+            effect: None,
+            acknowledged: Vec::new(),
+            good: Vec::new(),
+            failed: Vec::new(),
+            broken: None,
+            key: String::new(),
+        };
+        world.carry_out(first);
+        world.tell(served(100.0, 1.0));
+        world.publisher(publisher::Event::Changed(document(1)));
+        world.connect();
+        vec![world.keyed()]
+    }
+
+    fn actions(&self, world: &World, steps: &mut Vec<Step>) {
+        let left = &world.left;
+        if left.publishes > 0 {
+            steps.push(Step::Publish);
+        }
+        if world.up {
+            steps.extend((0..world.to_node.len()).map(Step::ToNode));
+            steps.extend((0..world.to_publisher.len()).map(Step::ToPublisher));
+            if left.losses > 0 {
+                steps.extend((0..world.to_node.len()).map(Step::LoseToNode));
+                steps.extend((0..world.to_publisher.len()).map(Step::LoseToPublisher));
+            }
+            if left.breaks > 0 {
+                steps.push(Step::Break);
+            }
+        } else {
+            steps.push(Step::Connect);
+        }
+        if world.writing.is_some() {
+            steps.push(Step::Written);
+            if left.disk_faults > 0 {
+                steps.push(Step::WriteFails);
+            }
+        }
+        if left.deaths > 0 {
+            steps.push(Step::NodeDies { written: false });
+            if world.writing.is_some() {
+                steps.push(Step::NodeDies { written: true });
+            }
+        }
+        if left.restarts > 0 {
+            steps.extend([false, true].map(|forgets| Step::PublisherRestarts { forgets }));
+        }
+        if left.trials > 0 && matches!(world.node.serving(), Serving::OnTrial(_)) {
+            steps.extend([false, true].map(|well| Step::TrialEnds { well }));
+        }
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut world = last.clone();
+        match step {
+            Step::Publish => {
+                world.left.publishes -= 1;
+                let says = 1 + self.0.publishes - world.left.publishes;
+                world.publisher(publisher::Event::Changed(document(says)));
+            }
+            Step::ToNode(place) => {
+                let said = world.to_node.remove(place);
+                world.tell(Event::Heard(said));
+            }
+            Step::ToPublisher(place) => {
+                let said = world.to_publisher.remove(place);
+                world.publisher(publisher::Event::Heard(world.connection, said));
+            }
+            Step::LoseToNode(place) => {
+                world.left.losses -= 1;
+                world.to_node.remove(place);
+            }
+            Step::LoseToPublisher(place) => {
+                world.left.losses -= 1;
+                world.to_publisher.remove(place);
+            }
+            Step::Break => {
+                world.left.breaks -= 1;
+                world.disconnect();
+                world.tell(Event::Down);
+            }
+            Step::Connect => world.connect(),
+            Step::Written => {
+                let (ticket, kept) = world.writing.take()?;
+                world.kept = kept;
+                world.tell(Event::Stored { ticket, done: Ok(()) });
+            }
+            Step::WriteFails => {
+                world.left.disk_faults -= 1;
+                let (ticket, _) = world.writing.take()?;
+                world.tell(Event::Stored { ticket, done: Err("full".into()) });
+                // And the pause until it is tried again.
+                world.now = world.now + Span::from_ms(60_000.0);
+                world.tell(Event::Woke);
+            }
+            Step::NodeDies { written } => {
+                world.left.deaths -= 1;
+                if let Some((_, kept)) = world.writing.take().filter(|_| written) {
+                    world.kept = kept;
+                }
+                world.disconnect();
+                world.restart_node();
+            }
+            Step::PublisherRestarts { forgets } => {
+                world.left.restarts -= 1;
+                world.disconnect();
+                if forgets {
+                    world.counter.last = None;
+                }
+                world.publisher = Publisher::new(world.counter.clone(), Admission::new(1000.0, 1000.0));
+                let says = 1 + self.0.publishes - world.left.publishes;
+                world.publisher(publisher::Event::Changed(document(says)));
+                world.tell(Event::Down);
+            }
+            Step::TrialEnds { well } => {
+                world.left.trials -= 1;
+                if well {
+                    world.now = world.now + Span::from_ms(1001.0);
+                    world.tell(served(0.0, 1.0));
+                } else {
+                    world.tell(served(100.0, 0.0));
+                }
+                world.tell(served(100.0, 1.0));
+            }
+        }
+        world.check();
+        Some(world.keyed())
+    }
+
+    fn properties(&self) -> Vec<Property<Bounds>> {
+        vec![
+            Property::always("serves what is good, acknowledged or its file", |_, world: &World| {
+                world.broken.is_none()
+            }),
+            Property::sometimes("the last one published becomes good", |model: &Bounds, world: &World| {
+                let last = document(1 + model.0.publishes).digest();
+                world.good.contains(&last)
+            }),
+            Property::sometimes("a version fails", |_, world: &World| !world.failed.is_empty()),
+        ]
+    }
+}
+
+fn explore(left: Left) -> usize {
+    let checker = Bounds(left).checker().threads(4).spawn_bfs().join();
+    checker.assert_properties();
+    checker.unique_state_count()
+}
+
+#[test]
+fn no_state_serves_what_is_neither_good_nor_acknowledged() {
+    let calm = Left { publishes: 1, breaks: 0, losses: 0, deaths: 0, restarts: 0, disk_faults: 0, trials: 2 };
+    let troubles = [
+        Left { deaths: 2, ..calm },
+        Left { deaths: 1, breaks: 1, ..calm },
+        Left { restarts: 2, ..calm },
+        Left { losses: 1, breaks: 1, restarts: 1, ..calm },
+        Left { disk_faults: 2, deaths: 1, ..calm },
+    ];
+    for left in troubles {
+        let states = explore(left);
+        println!("{left:?}: {states} states");
+        assert!(states > 100, "{states} states are too few to have been through it");
+    }
+}
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -1,7 +1,7 @@
 //! The decision module: what one server takes, runs and turns away.
 //!
-//! How it is called: once a batch, `control.round(now, |inflow| …, &mut writer)`. The closure tells `Inflow`
-//! what came in, in order; then the module decides into the writer. The interface is `desk.rs`.
+//! How it is called: once a batch, `control.round(now, |inflow| …, &mut writer)`. The closure tells
+//! `Inflow` what came in, in order; then the module decides into the writer. The interface is `desk.rs`.
 //!
 //! The design (`docs/design.md`) is `CallGate`: permits, a bounded queue, a learned depth, a wait budget,
 //! bounces at arrival. Beside it stand six mechanisms:
@@ -17,6 +17,7 @@
 use crate::desk::*;
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 type Out<'a> = &'a mut dyn Decisions;
 
@@ -26,9 +27,10 @@
 const RULE_ROOM: f64 = 0.8;
 /// Calls that take this many times what they took at best show that what lies below is crowded.
 const CALLS_CROWDED: f64 = 4.0;
-/// Times the mean core time that a job keeps to finish, once calls take twice their best: a whole run's, so ample.
+/// Times the mean core time that a job keeps to finish, once calls take twice their best: a whole run's.
 const FINISH_PART: f64 = 1.0;
-const CALL_PATIENCE: f64 = 16.0; // times the mean latency: what takes longer never comes, and holds a permit
+/// Times the mean latency: a call that takes longer never comes, and holds a permit.
+const CALL_PATIENCE: f64 = 16.0;
 /// Part of the mean latency that must be left for a call to be tried that may be left out: less is in vain.
 const LEAST_TRY: f64 = 0.5;
 /// What is learned fades over this many of the shortest goal times: some dozens of jobs, some seconds.
@@ -54,11 +56,13 @@
 /// A job in hand: until its answer, and if it runs, until its run has ended.
 struct InHand {
     job: Job,
+    case: Rc<UseCase>, // as when it arrived: a revision changes nothing for what is in hand
+    quota: f64,
     order: u64,
     stage: Stage,
     since: Time, // when the stage began
     on_cores: Span,
-    due: Time,
+    last: Time, // when its answer must go out at the latest
     goal: Time,
     answered: bool,
     ran: bool,
@@ -89,7 +93,7 @@
     }
 
     /// A call went through. While jobs wait and calls take about what they take at best, the dependency has
-    /// room and the permits grow, at first doubling in a round trip; while calls take much longer, they shrink
+    /// room and the permits grow, at first doubling in a round trip; while they take much longer, they shrink
     /// to half the start at the least, so that what lies below is not pushed further down by its slowness.
     fn tune(&mut self, now: Time) {
         // A mean over fewer calls than the start of the permits is chance.
@@ -191,6 +195,13 @@
     }
 }
 
+/// The shortest goal time, and the mean.
+fn goals<'a>(use_cases: impl Iterator<Item = &'a UseCase>) -> (Span, Span) {
+    let goals: Vec<Span> = use_cases.map(|case| case.goal).collect();
+    let sum = goals.iter().fold(Span::ZERO, |sum, goal| sum + *goal);
+    (goals.iter().min().copied().unwrap_or(Span::from_ms(1000.0)), sum * (1.0 / goals.len().max(1) as f64))
+}
+
 /// What part of a customer's jobs earns in full, by its rate over the fleet, as seen here, and its quota.
 fn part_in_quota(rate: f64, quota: f64, beyond: f64) -> f64 {
     let within = (quota / rate.max(f64::MIN_POSITIVE)).min(1.0);
@@ -243,7 +254,7 @@
 }
 
 pub struct Control {
-    use_cases: Vec<UseCase>,
+    use_cases: Vec<Rc<UseCase>>,
     machine: Machine,
     promises: Promises,
     callers: Callers,
@@ -282,7 +293,7 @@
 impl Inflow<'_> {
     pub fn arrived(&mut self, job: Job) {
         let (now, control) = (self.now, &mut *self.control);
-        let Some(case) = control.use_cases.get(job.use_case) else { return };
+        let Some(case) = control.use_cases.get(job.use_case).cloned() else { return };
         let counts = f64::from(u8::from(job.known)); // a stranger's may be made up, and are read late for it
         job.known.then(|| control.unread.learn(now, now.since(job.reached)));
         control.tries.add(now, counts);
@@ -291,9 +302,11 @@
         } else if let Some((rate, _)) = control.quotas.get_mut(job.customer) {
             rate.add(now, counts);
         }
+        let quota = control.quotas.get(job.customer).map_or(f64::INFINITY, |(_, quota)| *quota);
         let due = job.waits_until.unwrap_or(job.reached + case.cut_off);
         let stretched = job.work.map_or(Span::ZERO, |work| work * case.goal_per_work);
         let goal = (job.reached + case.goal + stretched).min(due);
+        let last = due - control.promises.answer_slack.min(due.since(job.reached) * 0.1);
         control.numbers += 1;
         control.fresh.push(job.id.clone());
         let held = InHand {
@@ -301,12 +314,14 @@
             stage: Stage::Held,
             since: now,
             on_cores: Span::ZERO,
-            due,
+            last,
             goal,
             answered: false,
             ran: false,
             call_tries: 0,
             call_unsure: false,
+            case,
+            quota,
             job,
         };
         control.jobs.insert(held.job.id.clone(), held);
@@ -395,8 +410,7 @@
         callers: Callers,
         chance: Chance,
     ) -> Control {
-        let shortest_goal = use_cases.iter().map(|case| case.goal).min().unwrap_or(Span::from_ms(1000.0));
-        let goals = use_cases.iter().fold(Span::ZERO, |sum, case| sum + case.goal);
+        let (shortest_goal, mean_goal) = goals(use_cases.iter());
         let fade = shortest_goal * MEMORY_IN_GOALS;
         let paces = || use_cases.iter().map(|_| Pace::new(fade)).collect::<Vec<_>>();
         Control {
@@ -423,7 +437,7 @@
             quotas: customers.iter().map(|customer| (DecaySum::new(fade), customer.quota)).collect(),
             openness: Openness { open: 1.0, told: None, next: None },
             chance,
-            unread_most: goals * (UNREAD_PART / use_cases.len().max(1) as f64),
+            unread_most: mean_goal * UNREAD_PART,
             shortest_goal,
             fade,
             started: None,
@@ -432,13 +446,50 @@
             leaving: None,
             numbers: 0,
             alarm: None,
-            use_cases,
+            use_cases: use_cases.into_iter().map(Rc::new).collect(),
             machine,
             promises,
             callers: Callers { count: callers.count.max(1.0), ..callers },
         }
     }
 
+    /// Between two rounds: other figures for use cases, customers and promises, by place. What was learned
+    /// stays with its place, but for places that stand for something else now; jobs in hand keep the figures
+    /// that they arrived under. Places may be added at the end; `false`, and no change, if any is taken away.
+    pub fn revise(&mut self, now: Time, to: Revision) -> bool {
+        let Revision { use_cases, customers, promises, anew_use_cases, anew_customers } = to;
+        // A place that a job in hand may still name must stand.
+        if use_cases.len() < self.use_cases.len() || customers.len() < self.quotas.len() {
+            return false;
+        }
+        let served =
+            use_cases.iter().enumerate().filter(|(_, case)| case.in_use).map(|(_, case)| &case.figures);
+        let (shortest_goal, mean_goal) = goals(served);
+        (self.shortest_goal, self.unread_most) = (shortest_goal, mean_goal * UNREAD_PART);
+        self.fade = shortest_goal * MEMORY_IN_GOALS;
+        self.on_cores.resize_with(use_cases.len(), || Pace::new(self.fade));
+        self.whole.resize_with(use_cases.len(), || Pace::new(self.fade));
+        self.quotas.resize_with(customers.len(), || (DecaySum::new(self.fade), 0.0));
+        for place in anew_use_cases {
+            let paces = [&mut self.on_cores, &mut self.whole].into_iter();
+            paces.filter_map(|paces| paces.get_mut(place)).for_each(|pace| *pace = Pace::new(self.fade));
+        }
+        for place in anew_customers {
+            let rate = self.quotas.get_mut(place).into_iter();
+            rate.for_each(|(rate, _)| *rate = DecaySum::new(self.fade));
+        }
+        let paces = self.on_cores.iter_mut().chain(&mut self.whole);
+        paces.chain([&mut self.any, &mut self.gate.latency]).for_each(|pace| pace.refade(now, self.fade));
+        self.unread.refade(now, shortest_goal * WAIT_PART);
+        self.cores_used.refade(now, self.fade);
+        self.quotas.iter_mut().for_each(|(rate, _)| rate.refade(now, self.fade));
+        [&mut self.tries, &mut self.tries_again].into_iter().for_each(|sum| sum.refade(now, self.fade));
+        self.quotas.iter_mut().zip(customers).for_each(|((_, quota), customer)| *quota = customer.quota);
+        self.use_cases = use_cases.into_iter().map(|case| Rc::new(case.figures)).collect();
+        self.promises = promises;
+        true
+    }
+
     /// One batch: hears all that came in, then writes the decisions.
     pub fn round(&mut self, now: Time, feed: impl FnOnce(&mut Inflow), out: Out) {
         self.started.get_or_insert(now);
@@ -452,7 +503,7 @@
                 _ => {}
             }
         }
-        for id in self.pick(|held| held.stage == Stage::Queued && self.case(held).part_without_call > 0.0) {
+        for id in self.pick(|held| held.stage == Stage::Queued && held.case.part_without_call > 0.0) {
             if self.call_until(now, &id) <= now + self.gate.latency.usual(now) * LEAST_TRY {
                 self.no_call(now, &id, out);
             }
@@ -469,7 +520,7 @@
 
     /// No entry links it, but it may repeat a numbered job that ran.
     fn blind(&self, held: &InHand) -> bool {
-        let (marked, apart) = (self.callers.mark_again, self.case(held).cut_off * 0.05);
+        let (marked, apart) = (self.callers.mark_again, held.case.cut_off * 0.05);
         self.entries.values().any(|entry| entry.may_be(&held.job, held.since, marked, apart))
     }
 
@@ -480,39 +531,33 @@
         held.call_tries = if stage == Stage::Calling { held.call_tries + 1 } else { 0 };
     }
 
-    fn case(&self, held: &InHand) -> &UseCase {
-        &self.use_cases[held.job.use_case]
-    }
-
     /// When an answer must go out at the latest, safely before it is due and before the process is stopped.
     fn last_moment(&self, held: &InHand) -> Time {
-        let wait = held.due.since(held.job.reached);
-        let last = held.due - self.promises.answer_slack.min(wait * 0.1);
         // Answers before a stop are out well before it: a pause of the process may fall there.
         let margin = (self.promises.drain_grace * 0.2).max(self.machine.tick * 4.0);
-        self.leaving.map_or(last, |(_, stop)| last.min(stop - margin))
+        self.leaving.map_or(held.last, |(_, stop)| held.last.min(stop - margin))
     }
 
     /// When an answer stops being worth anything.
     fn useless_from(&self, held: &InHand) -> Time {
         let last = self.last_moment(held);
-        if self.case(held).late_part > 0.0 { last } else { last.min(held.goal) }
+        if held.case.late_part > 0.0 { last } else { last.min(held.goal) }
     }
 
     /// Exception: while calls are slow, one that may be left out is waited for only as long as leaves time to
     /// finish without it. Guards against anything that makes calls late; hurts where they just made it.
     fn call_until(&mut self, now: Time, id: &JobId) -> Time {
         let Some(held) = self.jobs.get(id) else { return now };
-        let (until, use_case) = (self.useless_from(held), held.job.use_case);
+        let (until, use_case, held_case) = (self.useless_from(held), held.job.use_case, held.case.clone());
         let slow = self.gate.best.zip(self.gate.latency.mean(now));
         let slow = slow.map_or(0.0, |(best, mean)| (mean.as_ms() / best.max(0.001) - 1.0).clamp(0.0, 1.0));
-        let slow = if self.use_cases[use_case].part_without_call > 0.0 { slow } else { 0.0 };
+        let slow = if held_case.part_without_call > 0.0 { slow } else { 0.0 };
         until - self.core_time(now, use_case) * (FINISH_PART * slow)
     }
 
     /// The wait that the call queue's budget and depth go by.
     fn call_wait(&self, now: Time, held: &InHand) -> Span {
-        held.job.waits_until.map_or(self.case(held).cut_off, |until| until.since(now))
+        held.job.waits_until.map_or(held.case.cut_off, |until| until.since(now))
     }
 
     /// Gives the final answer at once: a bounce with when to come back, or, without that and for a job that
@@ -522,7 +567,7 @@
         let Some(held) = self.jobs.get_mut(id).filter(|held| !held.answered) else { return };
         held.answered = true;
         let may_have_run = held.ran || held.job.repeats.is_some() || blind;
-        let may_bounce = self.use_cases[held.job.use_case].repeats == Repeats::Reissuable || !may_have_run;
+        let may_bounce = held.case.repeats == Repeats::Reissuable || !may_have_run;
         if let Some(back_in) = back.filter(|_| may_bounce) {
             let not_elsewhere = !elsewhere || held.job.again || self.crowded(now, 0.1);
             self.tries_again.add(now, if self.callers.mark_again { 0.0 } else { 0.25 });
@@ -545,7 +590,7 @@
     }
 
     fn stoppable(&self, held: &InHand) -> bool {
-        let again = self.case(held).repeats == Repeats::Reissuable;
+        let again = held.case.repeats == Repeats::Reissuable;
         self.machine.stopping != Stopping::Never && again && held.stage == Stage::OnCores
     }
 
@@ -559,7 +604,7 @@
     /// A job that was just read: linked to the one it repeats, bounced while the call queue is full, or held.
     fn admit(&mut self, now: Time, id: &JobId, out: Out) {
         let Some(held) = self.jobs.get(id) else { return };
-        let (case, job) = (self.case(held).clone(), held.job.clone());
+        let (case, job) = (held.case.clone(), held.job.clone());
         if case.repeats == Repeats::Numbered {
             self.entries.retain(|_, entry| entry.named_until > now);
             // Two that came in one batch name each other: the first of them has no entry yet and stands.
@@ -598,7 +643,7 @@
     fn meet_call(&mut self, now: Time, id: &JobId, out: Out) {
         let Some(held) = self.jobs.get(id).filter(|held| !held.answered) else { return };
         let wait = self.call_wait(now, held);
-        let once = self.case(held).repeats != Repeats::Reissuable && held.call_unsure || held.call_tries > 1;
+        let once = held.case.repeats != Repeats::Reissuable && held.call_unsure || held.call_tries > 1;
         if once || self.gate.full(now, wait) || self.call_until(now, id) <= now {
             self.no_call(now, id, out);
         } else {
@@ -606,12 +651,12 @@
         }
     }
 
-    /// No call: an error. Exception: where leaving it out still earns and the cores have room, the job goes on.
+    /// No call: an error. Exception: where leaving it out still earns and cores have room, the job goes on.
     fn no_call(&mut self, now: Time, id: &JobId, out: Out) {
         self.gate.queue.retain(|queued| queued != id);
         let room = self.crowd(Stage::Calling) < self.crowd_cap(now);
         let Some(held) = self.jobs.get(id) else { return };
-        if self.case(held).part_without_call > 0.0 && room {
+        if held.case.part_without_call > 0.0 && room {
             self.enter(now, id, Stage::OnCores);
             out.skip_call(id);
         } else {
@@ -695,12 +740,12 @@
         let mut hold = Vec::new();
         for id in self.pick(|held| held.stage == Stage::Held) {
             let held = &self.jobs[&id];
-            let late = if held.goal <= now { self.case(held).late_part } else { 1.0 };
-            let earns = self.case(held).earnings * late;
+            let late = if held.goal <= now { held.case.late_part } else { 1.0 };
+            let earns = held.case.earnings * late;
             let (use_case, beyond) = (held.job.use_case, self.callers.over_quota_part);
             let scale = self.callers.fleet * 1000.0 / self.fade.as_ms();
-            let quota = self.quotas.get_mut(held.job.customer);
-            let part = quota.map_or(1.0, |(sum, quota)| part_in_quota(sum.read(now) * scale, *quota, beyond));
+            let (rate, quota) = (self.quotas.get_mut(held.job.customer), held.quota);
+            let part = rate.map_or(1.0, |(sum, _)| part_in_quota(sum.read(now) * scale, quota, beyond));
             hold.push((earns * part / self.core_time(now, use_case).as_ms().max(0.001), use_case, id));
         }
         // Stable: among equals the one read first.
@@ -716,11 +761,11 @@
         for (_, use_case, id) in hold {
             let held = &self.jobs[&id];
             let needs = held.job.held_kb * (self.machine.running_factor - 1.0);
-            let (calls, wait) = (self.case(held).calls, self.call_wait(now, held));
+            let (case, wait) = (held.case.clone(), self.call_wait(now, held));
             let room = on_cores < limit
                 && crowd < cap
                 && memory + needs <= self.machine.memory_kb * RULE_ROOM
-                && !(calls && self.gate.full(now, wait));
+                && !(case.calls && self.gate.full(now, wait));
             if room {
                 if self.blind(&self.jobs[&id]) {
                     self.give_up(now, &id, false, None, out);
@@ -742,7 +787,7 @@
             let core_time = self.core_time(now, use_case) * stretch;
             let starts_in = ahead * (1.0 / limit);
             let done = now + starts_in + self.whole[use_case].usual(now).max(core_time);
-            let patience = self.use_cases[use_case].goal * HOLD_PART;
+            let patience = case.goal * HOLD_PART;
             if done > self.useless_from(&self.jobs[&id]) || starts_in > patience {
                 let back_in = self.hold_clears_in(now);
                 self.give_up(now, &id, true, Some(back_in), out);
--- a/crates/hazelgrade/src/decay.rs
+++ b/crates/hazelgrade/src/decay.rs
@@ -26,6 +26,15 @@
     pub fn add(&mut self, now: Time, amount: f64) {
         self.sum = self.read(now) + amount;
     }
+
+    /// Fades over another span from now on. A steady rate sums up to rate times fade, so the sum is brought to that.
+    pub fn refade(&mut self, now: Time, fade: Span) {
+        let sum = self.read(now);
+        if fade != self.fade {
+            self.sum = sum * (fade / self.fade);
+            self.fade = fade;
+        }
+    }
 }
 
 /// Mean of a figure, over what was seen lately.
@@ -45,6 +54,12 @@
         self.count.add(now, 1.0);
     }
 
+    /// Fades over another span from now on; the mean stays.
+    pub fn refade(&mut self, now: Time, fade: Span) {
+        self.total.refade(now, fade);
+        self.count.refade(now, fade);
+    }
+
     /// Nothing before the first sample; after idleness the last mean still stands.
     pub fn mean(&mut self, now: Time) -> Option<f64> {
         let (total, count) = (self.total.read(now), self.count.read(now));
@@ -65,6 +80,10 @@
         self.0.learn(now, span.as_ms());
     }
 
+    pub fn refade(&mut self, now: Time, fade: Span) {
+        self.0.refade(now, fade);
+    }
+
     /// How many samples still count.
     pub fn count(&mut self, now: Time) -> f64 {
         self.0.count.read(now)
--- a/crates/hazelgrade/src/desk.rs
+++ b/crates/hazelgrade/src/desk.rs
@@ -132,6 +132,24 @@
     pub over_quota_part: f64,
 }
 
+/// A use case at its place; one that is no longer in use keeps its place while jobs in hand may name it.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    pub figures: UseCase,
+    pub in_use: bool,
+}
+
+/// Other figures to go by, by place: at least as many places as before.
+#[derive(Clone, Debug)]
+pub struct Revision {
+    pub use_cases: Vec<Placed>,
+    pub customers: Vec<Customer>,
+    pub promises: Promises,
+    /// Places that stand for something else than before: nothing that was learned of them counts.
+    pub anew_use_cases: Vec<usize>,
+    pub anew_customers: Vec<usize>,
+}
+
 /// How a run or a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- /dev/null
+++ b/crates/hazelgrade/tests/revisions.rs
@@ -0,0 +1,101 @@
+//! Other figures between rounds: what is in hand keeps its own, what was learned stays with its place.
+
+mod common;
+
+use common::*;
+use hazelgrade::desk::*;
+
+fn revision(setup: &Setup, use_cases: &[(UseCase, bool)], anew: Vec<usize>) -> Revision {
+    let placed =
+        use_cases.iter().map(|(figures, in_use)| Placed { figures: figures.clone(), in_use: *in_use });
+    Revision {
+        use_cases: placed.collect(),
+        customers: vec![],
+        promises: setup.promises.clone(),
+        anew_use_cases: anew,
+        anew_customers: vec![],
+    }
+}
+
+fn of_case(id: &str, reached: hazelgrade::time::Time, use_case: usize) -> Job {
+    Job { use_case, ..job(id, reached) }
+}
+
+#[test]
+fn a_job_in_hand_keeps_its_cut_off_and_one_that_comes_after_has_the_new_one() {
+    let setup = setup();
+    let mut control = setup.control();
+    // More than may run: the last ones are held.
+    let first = round(&mut control, at(0.0), |inflow| {
+        (0..12).for_each(|n| inflow.arrived(job(&format!("a{n}"), at(0.0))));
+    });
+    let held = 12 - first.iter().filter(|act| matches!(act, Act::Run(_))).count();
+    assert!(held > 0);
+    let hasty = UseCase { goal: ms(50.0), cut_off: ms(100.0), ..setup.use_cases[0].clone() };
+    assert!(control.revise(at(10.0), revision(&setup, &[(hasty, true)], vec![])));
+    round(&mut control, at(20.0), |inflow| inflow.arrived(job("b", at(20.0))));
+    // Long past the new cut-off, well within the old goal time.
+    let later = round(&mut control, at(300.0), |inflow| inflow.woke(0, None));
+    let given_up = later.iter().filter_map(|act| match act {
+        Act::Bounce(id, ..) | Act::WriteOff(id) => Some(&**id),
+        _ => None,
+    });
+    assert_eq!(given_up.collect::<Vec<_>>(), ["b"], "only what came after has the new goal time");
+    let all = round(&mut control, at(2500.0), |inflow| inflow.woke(1, None));
+    let bounced = all.iter().filter(|act| matches!(act, Act::Bounce(..))).count();
+    assert!(bounced > 0, "at the goal time that they arrived under they are given up");
+}
+
+#[test]
+fn a_use_case_that_went_lets_its_jobs_end_and_places_are_never_taken_away() {
+    let setup = setup();
+    let mut control = setup.control();
+    round(&mut control, at(0.0), |inflow| inflow.arrived(job("a", at(0.0))));
+    let other = UseCase { earnings: 2.0, ..setup.use_cases[0].clone() };
+    let gone = [(setup.use_cases[0].clone(), false), (other, true)];
+    assert!(control.revise(at(10.0), revision(&setup, &gone, vec![])));
+    assert!(!control.revise(at(11.0), revision(&setup, &gone[..1], vec![])), "a job in hand may name it");
+    let acts = round(&mut control, at(20.0), |inflow| {
+        inflow.run_ended(&"a".into(), Outcome::Completed, ms(20.0));
+        inflow.arrived(of_case("b", at(20.0), 1));
+    });
+    assert!(acts.contains(&Act::Run("b".into())), "{acts:?}");
+}
+
+#[test]
+fn what_was_learned_of_calls_stays_with_the_place_unless_it_stands_for_something_else() {
+    // Calls of 400 ms are learned; the wait budget of a later job then allows for them.
+    let learned = |anew: Vec<usize>| {
+        let setup = setup();
+        let mut control = setup.control();
+        for n in 0..20 {
+            let (id, now) = (format!("a{n}"), f64::from(n) * 500.0);
+            round(&mut control, at(now), |inflow| inflow.arrived(job(&id, at(now))));
+            let done = at(now + 400.0);
+            round(&mut control, done, |inflow| {
+                inflow.run_ended(&id.as_str().into(), Outcome::Completed, ms(400.0))
+            });
+        }
+        let now = at(10_000.0);
+        let same = [(setup.use_cases[0].clone(), true)];
+        assert!(control.revise(now, revision(&setup, &same, anew)));
+        round(&mut control, now, |inflow| {
+            (0..60).for_each(|n| inflow.arrived(job(&format!("b{n}"), now)));
+        })
+    };
+    let bounced = |acts: &[Act]| acts.iter().filter(|act| matches!(act, Act::Bounce(..))).count();
+    let (kept, anew) = (bounced(&learned(vec![])), bounced(&learned(vec![0])));
+    assert!(kept > 20, "{kept} of 60: it knows how long runs take");
+    assert!(anew > 0 && anew <= kept, "{anew} of 60");
+}
+
+#[test]
+fn a_module_without_use_cases_serves_by_a_first_revision() {
+    let setup = Setup { use_cases: vec![], ..setup() };
+    let mut control = setup.control();
+    assert!(round(&mut control, at(0.0), |_| {}).iter().all(|act| !matches!(act, Act::Run(_))));
+    let case = common::setup().use_cases[0].clone();
+    assert!(control.revise(at(10.0), revision(&setup, &[(case, true)], vec![])));
+    let acts = round(&mut control, at(20.0), |inflow| inflow.arrived(job("a", at(20.0))));
+    assert!(acts.contains(&Act::Run("a".into())), "{acts:?}");
+}
