A demo that streams a good, a wrong and a harmful version under load, and a measurement

Need: a new user is to see the whole at work with one command, and the figures are to come from one command.

--- /dev/null
+++ b/crates/hazelgrade-demo/src/measure/mod.rs
@@ -0,0 +1,1 @@
+pub mod streaming;
--- /dev/null
+++ b/crates/hazelgrade-demo/src/scenes/streaming.rs
@@ -0,0 +1,154 @@
+//! Streamed configuration: a control service, two nodes with an executor and a database each, and callers. A good version
+//! is streamed, then a document that is wrong, then one that is right and does harm.
+
+use crate::SELF;
+use crate::parts::{Control, failed, program};
+use comfy_table::{Table, presets::ASCII_MARKDOWN};
+use hazelgrade_standins::callers::{Callers, Fate, Told};
+use hazelgrade_standins::documents::{BOOK, READ, document, text};
+use hazelgrade_standins::executor::Work;
+use hazelgrade_standins::node::Node;
+use hazelgrade_standins::world::{World, callers};
+use hazelgrade_standins::{comes_true, rules};
+use serde_json::Value;
+use std::time::{Duration, Instant};
+
+const WITHIN: Duration = Duration::from_secs(15);
+const LOOK: Duration = Duration::from_millis(50);
+/// Each act has at least so long for callers to be heard.
+const ACT: Duration = Duration::from_secs(3);
+const TRIAL: &str = "[stream.trial]\nspan_ms = 2000\nleast_jobs = 30\n";
+const CUT_OFF: Duration = Duration::from_secs(3);
+const GRACE: Duration = Duration::from_millis(250);
+
+struct Stage {
+    world: World,
+    node: Node,
+    callers: Callers,
+}
+
+/// What happened in an act, as it is shown at the end.
+struct Act {
+    name: &'static str,
+    from: Instant,
+    to: Instant,
+    versions: Vec<String>,
+}
+
+fn standing(status: &Value, node: &str) -> (String, String) {
+    let nodes = status["nodes"].as_array();
+    let node = nodes.and_then(|nodes| nodes.iter().find(|known| known["name"] == node));
+    let word = |field: &str| node.and_then(|node| node[field].as_str()).unwrap_or("-").to_owned();
+    (word("of"), word("standing"))
+}
+
+/// Waits until both nodes stand so with a version of this number.
+fn wait(control: &Control, number: u64, word: &str) -> Result<(), String> {
+    let mut status = Value::Null;
+    let so = comes_true(WITHIN, || {
+        std::thread::sleep(LOOK);
+        status = control.status();
+        ["n1", "n2"].iter().all(|node| {
+            let (of, stands) = standing(&status, node);
+            of.starts_with(&format!("{number} ")) && stands == word
+        })
+    });
+    if so { Ok(()) } else { Err(format!("version {number} is not {word} in time: {status}")) }
+}
+
+fn act(
+    control: &Control,
+    name: &'static str,
+    what: impl FnOnce() -> Result<(), String>,
+) -> Result<Act, String> {
+    let from = Instant::now();
+    println!("- {name}");
+    what()?;
+    std::thread::sleep(ACT.saturating_sub(from.elapsed()));
+    let status = control.status();
+    let version = |node: &str| {
+        let (of, stands) = standing(&status, node);
+        format!("{node}: {} {stands}", of.split(' ').next().unwrap_or("-"))
+    };
+    Ok(Act { name, from, to: Instant::now(), versions: vec![version("n1"), version("n2")] })
+}
+
+/// `true` if every rule was kept and every act ended as it should.
+pub fn play() -> Result<bool, String> {
+    let first = document(&[READ], 2, "")?;
+    let control = Control::start(&first)?;
+    let work = Work { cores: 4, takes: Duration::from_millis(20), calls: true };
+    let stage = |name: &str| -> Result<Stage, String> {
+        let world = World::new(work).map_err(failed)?;
+        let stream = format!("lineage = \"demo\"\n{TRIAL}");
+        let mut plan = world.plan(name, &program()?, &[SELF], control.address, &stream);
+        plan.log = "off".into();
+        let node = plan.start().map_err(failed)?;
+        if !node.becomes(true) {
+            return Err(format!("{name} is not ready in time"));
+        }
+        let callers = callers(node.plan.listen, 60.0, &["read"]);
+        Ok(Stage { world, node, callers })
+    };
+    println!("a control service at {}, two nodes that follow it, 60 jobs a second to each", control.address);
+    let mut stages = [stage("n1")?, stage("n2")?];
+    let good = text(&[READ, BOOK], 3, "");
+    let harmful = text(&[("read", 2, 10, 1), BOOK], 3, "");
+    let acts = [
+        act(&control, "version 1: the first there is, on trial, then good", || wait(&control, 1, "good"))?,
+        act(&control, "version 2: a use case and a customer more", || {
+            control.publish(&good)?;
+            wait(&control, 2, "good")
+        })?,
+        act(&control, "a document that is wrong: told, not published", || {
+            control.publish("[use_case.read]\ngoal_ms = \"soon\"\n")?;
+            let told = comes_true(WITHIN, || {
+                std::thread::sleep(LOOK);
+                control.status()["folder"].is_string()
+            });
+            if told { Ok(()) } else { Err("what is wrong is not told in time".into()) }
+        })?,
+        act(&control, "version 3: right, and does harm: a cut-off of 10 ms; both nodes go back", || {
+            control.publish(&harmful)?;
+            wait(&control, 3, "went back")
+        })?,
+        act(&control, "after it", || Ok(()))?,
+    ];
+    let folder = control.status()["folder"].as_str().map(str::to_owned);
+    let why = control.status()["nodes"][0]["why"].as_str().unwrap_or("-").to_owned();
+    for stage in &stages {
+        stage.node.signal("TERM");
+    }
+    let clean = stages.iter_mut().all(|stage| stage.node.ended().is_some_and(|status| status.success()));
+    let mut told: Vec<Told> = Vec::new();
+    let mut kept = clean;
+    println!();
+    for Stage { world, node, callers } in stages {
+        let (of_node, twice) = callers.stop();
+        let verdict = rules::check(&of_node, twice, &world.executor.runs(), CUT_OFF, GRACE);
+        println!("{}: {verdict}", node.plan.name);
+        kept &= verdict.kept();
+        told.extend(of_node);
+    }
+    let mut table = Table::new();
+    table.load_style(ASCII_MARKDOWN);
+    table.set_header(["act", "jobs", "satisfied", "bounced", "written off", "versions at its end"]);
+    for Act { name, from, to, versions } in &acts {
+        let of_act: Vec<&Told> = told.iter().filter(|told| (*from..*to).contains(&told.sent)).collect();
+        let count = |fate| of_act.iter().filter(|told| told.fate == fate).count().to_string();
+        table.add_row([
+            (*name).to_owned(),
+            of_act.len().to_string(),
+            count(Fate::Satisfied),
+            count(Fate::Bounced),
+            count(Fate::WrittenOff),
+            versions.join(", "),
+        ]);
+    }
+    println!("\n{table}\n");
+    println!("why the nodes went back from version 3: {why}");
+    println!("both nodes left with every answer given: {}", if clean { "yes" } else { "no" });
+    println!("rules: {}", if kept { "all kept" } else { "BROKEN" });
+    // The harmful version took the place of the wrong document.
+    Ok(kept && folder.is_none())
+}
--- a/crates/hazelgrade-server/src/program/command.rs
+++ b/crates/hazelgrade-server/src/program/command.rs
@@ -37,7 +37,12 @@
 const WRONG: u8 = 2;
 
 pub fn main() -> ExitCode {
-    match run(Arguments::from_env()) {
+    main_with(Arguments::from_env())
+}
+
+/// The same for words that were not given on this process's own command line.
+pub fn main_with(arguments: Arguments) -> ExitCode {
+    match run(arguments) {
         Ok(code) => code,
         Err(message) => {
             eprintln!("hazelgrade: {message}");
--- /dev/null
+++ b/crates/hazelgrade-standins/src/world.rs
@@ -0,0 +1,64 @@
+//! All that a node needs round it, but for its control service.
+
+use crate::callers::{Callers, Plan as Calling};
+use crate::executor::{Executor, Work};
+use crate::node::Plan;
+use crate::registry::Registry;
+use crate::{database, free_address};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// How long a call below takes.
+const CALL: Duration = Duration::from_millis(2);
+
+pub struct World {
+    pub folder: TempDir,
+    pub executor: Executor,
+    pub registry: Registry,
+    pub database: SocketAddr,
+}
+
+impl World {
+    pub fn new(work: Work) -> io::Result<World> {
+        Ok(World {
+            folder: tempfile::tempdir()?,
+            executor: Executor::start(work)?,
+            registry: Registry::start()?,
+            database: database::start(CALL)?,
+        })
+    }
+
+    /// A node of this name, started by these words, that follows `control`.
+    pub fn plan(
+        &self,
+        name: &str,
+        program: &Path,
+        words: &[&str],
+        control: SocketAddr,
+        stream: &str,
+    ) -> Plan {
+        Plan {
+            program: PathBuf::from(program),
+            words: words.iter().map(|word| (*word).to_owned()).collect(),
+            folder: self.folder.path().into(),
+            name: name.into(),
+            listen: free_address(),
+            executor: self.executor.address,
+            registry: self.registry.address,
+            database: Some(self.database),
+            control: vec![control],
+            stream: stream.into(),
+            stop_ms: 2500,
+            log: "warn".into(),
+        }
+    }
+}
+
+/// Four connections that ask a node for these use cases, as the first customer.
+pub fn callers(node: SocketAddr, rate: f64, use_cases: &[&str]) -> Callers {
+    let use_cases = use_cases.iter().map(|name| (*name).to_owned()).collect();
+    Callers::start(&Calling { node, connections: 4, rate, use_cases, owner: "c0".into() })
+}
