Nodes are back within five seconds; differences are made once for all who have the same base

Cause: with waits of up to 30 s nodes came back 24 s after their control service; a thousand subscribers had a version 400 ms after it was published, half of that the folder's polling and a difference made for each.

Change: waits of up to 5 s with full jitter, the folder looked at each 20 ms, one difference a base. What was kept and can't be read is put aside, and tested.

--- a/crates/hazelgrade-server/tests/streaming/node.rs
+++ b/crates/hazelgrade-server/tests/streaming/node.rs
@@ -325,6 +325,24 @@
     assert_eq!(reading.list_tables().expect("tables").count(), 1, "nothing was added");
 }
 
+#[test]
+fn what_was_kept_and_cannot_be_read_is_put_aside_and_not_lost() {
+    let world = World::new(QUICK);
+    let file = world.world.folder.path().join("first.toml");
+    std::fs::write(&file, doc(&[READ], "").to_toml()).expect("a file");
+    let plan = Plan { log: "off".into(), ..world.plan(&format!("document = {file:?}\n{SHORT_TRIAL}")) };
+    let strange: &[u8] = b"{\"good\": {\"text\": \"of another age\"}}";
+    let open = || hazelgrade_store::Store::open(&plan.store(), "n1").expect("a store");
+    open().keep(&[(hazelgrade_stream::kept::NAME, Some(strange))]).expect("it is kept");
+    let mut node = plan.start().expect("it starts");
+    assert!(node.becomes(true), "by its file");
+    let (mut subscriber, have) = world.subscriber();
+    assert_eq!(have, None);
+    made_good(&mut subscriber, 1, &doc(&[BOOK], ""));
+    node.kill();
+    assert_eq!(open().get("configuration.unread"), Ok(Some(strange.to_vec())));
+}
+
 #[test]
 fn a_store_of_another_node_ends_the_start_with_one_line_that_names_the_field() {
     let world = World::new(QUICK);
--- a/crates/hazelgrade-stream/src/backoff.rs
+++ b/crates/hazelgrade-stream/src/backoff.rs
@@ -6,8 +6,9 @@
 
 /// The longest wait after a first failure: some round trips.
 const FIRST_MS: f64 = 200.0;
-/// And after many: longer than that, a fleet would be slow to see that the control service is back.
-const MOST_MS: f64 = 30_000.0;
+/// And after many: a fleet of thousands then tries some hundred times a second, which an address that refuses does not
+/// mind, and is back within this when the control service is. What comes at once is the control service's to spread.
+const MOST_MS: f64 = 5_000.0;
 /// What is added by chance to a wait that the control service named, as a part of it: it has spread them already.
 const SPREAD: f64 = 0.1;
 
--- a/crates/hazelgrade-stream/src/publisher.rs
+++ b/crates/hazelgrade-stream/src/publisher.rs
@@ -117,6 +117,8 @@
     /// Changed while one was being counted.
     next: Option<Document>,
     bases: VecDeque<(Version, Document)>,
+    /// What is sent of the latest version to those that have a base: made once, not for each.
+    contents: BTreeMap<Version, Content>,
     admission: Admission,
     peers: BTreeMap<Connection, Peer>,
     nodes: BTreeMap<String, Node>,
@@ -134,6 +136,7 @@
             counting: None,
             next: None,
             bases: VecDeque::new(),
+            contents: BTreeMap::new(),
             admission,
             peers: BTreeMap::new(),
             nodes: BTreeMap::new(),
@@ -224,6 +227,7 @@
                 self.bases.pop_front();
             }
         }
+        self.contents.clear();
         out.push(Action::Note(format!("version {version} is published")));
         let text = document.to_toml();
         self.current = Some((version, document, text));
@@ -243,14 +247,21 @@
         }
         let base = node.has.filter(|_| !peer.whole_only);
         let base = base.and_then(|has| self.bases.iter().find(|(version, _)| *version == has));
-        let difference = base.map(|(base, before)| (*base, before.fields().difference(document.fields())));
-        let content = match difference {
-            Some((base, difference))
-                if (difference.to_json().to_string().len() as f64) < text.len() as f64 * WORTH_IT =>
-            {
-                Content::Change { base, difference }
+        let content = match base {
+            None => Content::Whole(text.clone()),
+            Some((base, before)) => {
+                let made = self.contents.entry(*base).or_insert_with(|| {
+                    let difference = before.fields().difference(document.fields());
+                    let small =
+                        (difference.to_json().to_string().len() as f64) < text.len() as f64 * WORTH_IT;
+                    if small {
+                        Content::Change { base: *base, difference }
+                    } else {
+                        Content::Whole(text.clone())
+                    }
+                });
+                made.clone()
             }
-            _ => Content::Whole(text.clone()),
         };
         self.nonces += 1;
         let change = matches!(content, Content::Change { .. });
--- a/crates/hazelgrade-stream/src/service.rs
+++ b/crates/hazelgrade-stream/src/service.rs
@@ -25,7 +25,8 @@
 /// The document in the folder, and the counter beside it.
 pub const DOCUMENT: &str = "serving.toml";
 pub const COUNTER: &str = ".published.json";
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// One look at a file's length and time of change, which costs microseconds.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// A subscriber's message is short; half of one for so long is none.
 const MESSAGE_WITHIN: Duration = Duration::from_secs(5);
 /// Connections at once; past that they are closed unheard, and come back with jitter.
--- a/crates/hazelgrade-stream/src/subscriber.rs
+++ b/crates/hazelgrade-stream/src/subscriber.rs
@@ -398,7 +398,13 @@
         let name = format!("version {version}");
         let malformed = |faults: Vec<fault::Fault>| Refusal::Malformed(fault::lines(&faults, FAULTS_NAMED));
         let document = match &offer.content {
-            Content::Whole(text) => Document::read(text, &name).map_err(malformed)?,
+            Content::Whole(text) => {
+                let document = Document::read(text, &name).map_err(malformed)?;
+                if document.digest() != version.digest {
+                    return Err(Refusal::WrongDigest);
+                }
+                document
+            }
             Content::Change { base, difference } => {
                 let has = self.has().filter(|(has, _)| has == base).ok_or(Refusal::UnknownBase)?;
                 let fields = has.1.fields().with(difference).ok_or(Refusal::UnknownBase)?;
@@ -408,9 +414,6 @@
                 Document::of_fields(fields, &name).map_err(malformed)?
             }
         };
-        if document.digest() != version.digest {
-            return Err(Refusal::WrongDigest);
-        }
         Ok(Some(document))
     }
 
