--- a/crates/hazelgrade-stream/tests/histories.rs
+++ b/crates/hazelgrade-stream/tests/histories.rs
@@ -364,6 +364,19 @@
     assert_eq!(world.node.serving(), Serving::Good(version(5, 2)));
 }
 
+#[test]
+fn a_difference_that_does_not_lead_to_what_was_announced_is_turned_down_as_such() {
+    let mut world = World::new();
+    world.step(&Step::Offer { number: 1, says: 1, announced: 1 });
+    world.step(&Step::Later);
+    let difference = document(1).fields().difference(document(2).fields());
+    let content = Content::Change { base: version(1, 1), difference };
+    let offer = Offer { nonce: 99, lineage: LINEAGE.into(), version: version(2, 3), content };
+    world.tell(Event::Heard(Published::Offer(offer)));
+    assert!(matches!(world.said.last(), Some(Said::TurnedDown { refusal: Refusal::WrongDigest, .. })));
+    assert_eq!(world.node.serving(), Serving::Good(version(1, 1)));
+}
+
 #[test]
 fn a_silent_control_service_is_left_for_the_next_and_one_that_asks_for_time_is_given_it() {
     let (mut node, first) = start(at(0.0), Kept::default(), None);
