--- a/crates/hazelgrade-config/src/document.rs
+++ b/crates/hazelgrade-config/src/document.rs
@@ -2,11 +2,12 @@
 
 use crate::LONGEST_DOCUMENT;
 use crate::fault::Fault;
-use crate::fields::{self, Fields, Scalar};
+use crate::fields::{self, Fields, Kind, Scalar};
 use crate::read::{Found, Reading};
 use crate::version::Digest;
 use hazelgrade::desk::{Customer, Promises, Repeats, UseCase};
 use hazelgrade::time::Span;
+use ipnet::IpNet;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -20,6 +21,7 @@
 /// A document that was checked: what it says can be served.
 #[derive(Clone, PartialEq)]
 pub struct Document {
+    kind: Kind,
     fields: Fields,
     digest: Digest,
 }
@@ -48,6 +50,7 @@
 
 /// Notes faults by path.
 struct Check<'a> {
+    kind: Kind,
     fields: &'a Fields,
     faults: Vec<(String, String)>,
 }
@@ -60,7 +63,7 @@
     /// Each field by itself: is there such a one, and does its value fit?
     fn each(&mut self) {
         for (path, value) in &self.fields.0 {
-            match fields::known(path) {
+            match self.kind.known(path) {
                 None => self.fault(path, "there is no such field"),
                 Some(field) => {
                     if let Some(expected) = field.holds.misfit(value) {
@@ -111,18 +114,92 @@
             self.fault("use_case", "expected at least one use case that earns something");
         }
     }
+
+    /// Keys that follow each other without a gap, callers that may ask for something.
+    fn identity(&mut self) {
+        let fields = self.fields;
+        self.needed("audience");
+        let longest = fields.number("longest_token_s").unwrap_or(LONGEST_TOKEN_S);
+        let mut keys = Vec::new();
+        for kid in fields.names("key") {
+            let at = |field: &str| format!("key/{kid}/{field}");
+            for field in ["algorithm", "x", "active_from_s", "valid_until_s"] {
+                self.needed(&at(field));
+            }
+            let curve = fields.word(&at("algorithm")) == Some("ES256");
+            if curve != fields.word(&at("y")).is_some() {
+                let expected = if curve { "is missing: ES256 has x and y" } else { "EdDSA has no y" };
+                self.fault(&at("y"), expected);
+            }
+            let from = fields.number(&at("active_from_s")).unwrap_or(0.0);
+            let until = fields.number(&at("valid_until_s")).unwrap_or(0.0);
+            let signs = fields.number(&at("signs_until_s")).unwrap_or(until - longest);
+            if from >= signs {
+                self.fault(
+                    &at("active_from_s"),
+                    "expected it before signs_until_s: the key would sign nothing",
+                );
+            } else if signs + longest > until {
+                let expected = "expected it at least longest_token_s after signs_until_s: tokens would outlive their key";
+                self.fault(&at("valid_until_s"), expected);
+            }
+            let listed = fields.words("revoked/keys").iter().any(|revoked| revoked == kid);
+            if !listed && fields.truth(&at("revoked")) != Some(true) {
+                keys.push((from, signs, kid));
+            }
+        }
+        if keys.is_empty() {
+            self.fault("key", "expected at least one key that is not revoked");
+        }
+        keys.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for pair in keys.windows(2) {
+            if pair[1].0 > pair[0].1 {
+                let gap = format!(
+                    "expected it no later than signs_until_s of {}: nobody could sign between",
+                    pair[0].2
+                );
+                self.fault(&format!("key/{}/active_from_s", pair[1].2), gap);
+            }
+        }
+        for caller in fields.names("caller") {
+            let at = |field: &str| format!("caller/{caller}/{field}");
+            for field in ["use_cases", "customers"] {
+                self.needed(&at(field));
+            }
+            if fields.words(&at("networks")).iter().any(|network| network.parse::<IpNet>().is_err()) {
+                self.fault(&at("networks"), "expected networks like 10.0.0.0/8");
+            }
+        }
+    }
+
+    fn needed(&mut self, path: &str) {
+        if self.fields.get(path).is_none() {
+            self.fault(path, "is missing");
+        }
+    }
 }
 
-fn check(fields: &Fields) -> Vec<(String, String)> {
-    let mut check = Check { fields, faults: Vec::new() };
+/// How long a token lives at most, where a document does not say.
+pub const LONGEST_TOKEN_S: f64 = 3600.0;
+
+fn check(kind: Kind, fields: &Fields) -> Vec<(String, String)> {
+    let mut check = Check { kind, fields, faults: Vec::new() };
     check.each();
-    check.whole();
+    match kind {
+        Kind::Serving => check.whole(),
+        Kind::Identity => check.identity(),
+    }
     check.faults
 }
 
 impl Document {
     /// Reads a document; on failure gives all faults, each with its line. `file` is how they name the text.
     pub fn read(text: &str, file: &str) -> Result<Document, Vec<Fault>> {
+        Document::read_as(Kind::Serving, text, file)
+    }
+
+    /// The same for a document of any kind.
+    pub fn read_as(kind: Kind, text: &str, file: &str) -> Result<Document, Vec<Fault>> {
         if text.len() > LONGEST_DOCUMENT {
             let message = format!("expected {LONGEST_DOCUMENT} bytes at most, not {}", text.len());
             let file = file.to_owned();
@@ -141,19 +218,30 @@
                 Found::One(value) => {
                     fields.0.insert(path, value);
                 }
-                Found::Many(_) => reading.fault(at, &path, "expected one value, not a list"),
+                Found::Many(list) => {
+                    let word = |one: Scalar| match one {
+                        Scalar::Word(word) => Some(word),
+                        _ => None,
+                    };
+                    match list.into_iter().map(word).collect() {
+                        Some(words) => {
+                            fields.0.insert(path, Scalar::Words(words));
+                        }
+                        None => reading.fault(at, &path, "expected one value, or a list of words"),
+                    }
+                }
                 Found::Nothing if fields.0.contains_key(&path) => {}
                 // A use case with nothing in it lacks what it needs; another empty table says nothing.
                 Found::Nothing if path.starts_with("use_case/") && path.len() > "use_case/".len() => {
                     reading.fault(at, &path, "expected at least goal_ms and cut_off_ms");
                 }
-                Found::Nothing if is_section(&path) => {}
+                Found::Nothing if is_section(kind, &path) => {}
                 Found::Nothing => reading.fault(at, &path, "there is no such table"),
             }
         }
         // What isn't TOML at all has no fields that could be missed.
         let faults =
-            if fields.0.is_empty() && !reading.faults.is_empty() { Vec::new() } else { check(&fields) };
+            if fields.0.is_empty() && !reading.faults.is_empty() { Vec::new() } else { check(kind, &fields) };
         for (path, message) in faults {
             // What is missing is told at the first field beside it, and what has no place at the first line.
             let above = path.rsplit_once('/').map(|(above, _)| format!("{above}/"));
@@ -167,14 +255,14 @@
             reading.faults.sort_by_key(|fault| (fault.line, fault.column));
             return Err(reading.faults);
         }
-        Ok(Document::of_checked(fields))
+        Ok(Document::of_checked(kind, fields))
     }
 
     /// A document from fields, as after a difference was made; `file` is how faults name it.
-    pub fn of_fields(fields: Fields, file: &str) -> Result<Document, Vec<Fault>> {
-        let faults = check(&fields);
+    pub fn of_fields(kind: Kind, fields: Fields, file: &str) -> Result<Document, Vec<Fault>> {
+        let faults = check(kind, &fields);
         if faults.is_empty() {
-            return Ok(Document::of_checked(fields));
+            return Ok(Document::of_checked(kind, fields));
         }
         let fault = |(path, message): (String, String)| Fault {
             file: file.to_owned(),
@@ -186,9 +274,13 @@
         Err(faults.into_iter().map(fault).collect())
     }
 
-    fn of_checked(fields: Fields) -> Document {
+    fn of_checked(kind: Kind, fields: Fields) -> Document {
         let digest = fields.digest();
-        Document { fields, digest }
+        Document { kind, fields, digest }
+    }
+
+    pub fn kind(&self) -> Kind {
+        self.kind
     }
 
     pub fn fields(&self) -> &Fields {
@@ -267,8 +359,8 @@
     }
 }
 
-fn is_section(path: &str) -> bool {
-    fields::FIELDS.iter().any(|field| {
+fn is_section(kind: Kind, path: &str) -> bool {
+    kind.fields().iter().any(|field| {
         field.path.starts_with(path) || path.strip_prefix("node/").is_some_and(|rest| rest.len() > 1)
     })
 }
--- a/crates/hazelgrade-config/src/fields.rs
+++ b/crates/hazelgrade-config/src/fields.rs
@@ -21,6 +21,8 @@
     Truth(bool),
     Number(f64),
     Word(String),
+    /// A list of words, in its order.
+    Words(Vec<String>),
 }
 
 impl Scalar {
@@ -29,6 +31,7 @@
             Scalar::Truth(truth) => json!(truth),
             Scalar::Number(number) => json!(number),
             Scalar::Word(word) => json!(word),
+            Scalar::Words(words) => json!(words),
         }
     }
 
@@ -37,6 +40,11 @@
             Value::Bool(truth) => Some(Scalar::Truth(*truth)),
             Value::Number(number) => number.as_f64().map(Scalar::Number),
             Value::String(word) => Some(Scalar::Word(word.clone())),
+            Value::Array(list) => {
+                let words: Option<Vec<String>> =
+                    list.iter().map(|word| word.as_str().map(str::to_owned)).collect();
+                words.map(Scalar::Words)
+            }
             _ => None,
         }
     }
@@ -47,6 +55,8 @@
             Scalar::Truth(truth) => format!("t{truth}"),
             Scalar::Number(number) => format!("n{}", if *number == 0.0 { 0.0 } else { *number }),
             Scalar::Word(word) => format!("w{word}"),
+            // JSON, so that no two lists are written alike.
+            Scalar::Words(words) => format!("l{}", json!(words)),
         }
     }
 }
@@ -59,9 +69,20 @@
     Number(f64, f64),
     Whole(f64, f64),
     Word(&'static [&'static str]),
+    /// Any word without spaces, so long at most.
+    Text(usize),
+    /// A list of such words, so many at most; one word may stand for a list of one.
+    Words(usize),
     Address,
 }
 
+/// The longest word in a list.
+const LONGEST_WORD: usize = 256;
+
+fn is_text(word: &str, longest: usize) -> bool {
+    (1..=longest).contains(&word.len()) && word.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 impl Holds {
     /// What was expected, if the value is not that.
     pub fn misfit(&self, value: &Scalar) -> Option<String> {
@@ -72,6 +93,10 @@
                 (*least..=*most).contains(number) && number.fract() == 0.0
             }
             (Holds::Word(words), Scalar::Word(word)) => words.contains(&word.as_str()),
+            (Holds::Text(longest), Scalar::Word(word)) => is_text(word, *longest),
+            (Holds::Words(most), Scalar::Words(words)) => {
+                words.len() <= *most && words.iter().all(|word| is_text(word, LONGEST_WORD))
+            }
             (Holds::Address, Scalar::Word(word)) => word.parse::<SocketAddr>().is_ok(),
             _ => false,
         };
@@ -80,6 +105,8 @@
             Holds::Number(least, most) => format!("expected a number from {least} to {most}"),
             Holds::Whole(least, most) => format!("expected a whole number from {least} to {most}"),
             Holds::Word(words) => format!("expected one of {}", words.join(", ")),
+            Holds::Text(longest) => format!("expected a word without spaces of {longest} characters at most"),
+            Holds::Words(most) => format!("expected a list of {most} words at most, without spaces"),
             Holds::Address => "expected an address like 127.0.0.1:9090".into(),
         })
     }
@@ -102,7 +129,7 @@
     Field { path, holds, takes: Takes::Live, needed: true }
 }
 
-use Holds::{Address, Number, Truth, Whole, Word};
+use Holds::{Address, Number, Text, Truth, Whole, Word, Words};
 use Takes::{AtStart, Live};
 
 /// Times up to a day: longer ones are slips of units.
@@ -140,6 +167,76 @@
     field("customer/*/", Truth, Live),
 ];
 
+pub const ALGORITHMS: [&str; 2] = ["EdDSA", "ES256"];
+
+/// Seconds since 1970, up to the year 5000.
+const MOMENT: Holds = Number(0.0, 1e11);
+
+const fn needed_text(path: &'static str, longest: usize) -> Field {
+    needed(path, Text(longest))
+}
+
+/// Who callers are and what they may ask for: a kind of document of its own, all of it live.
+pub const IDENTITY_FIELDS: [Field; 19] = [
+    needed_text("audience", 256),
+    field("skew_s", Number(0.0, 600.0), Live),
+    field("longest_token_s", Number(1.0, 31_536_000.0), Live),
+    needed("key/*/algorithm", Word(&ALGORITHMS)),
+    needed_text("key/*/x", 64),
+    field("key/*/y", Text(64), Live),
+    needed("key/*/active_from_s", MOMENT),
+    field("key/*/signs_until_s", MOMENT, Live),
+    needed("key/*/valid_until_s", MOMENT),
+    field("key/*/revoked", Truth, Live),
+    needed("caller/*/use_cases", Words(64)),
+    needed("caller/*/customers", Words(4096)),
+    field("caller/*/networks", Words(64), Live),
+    field("caller/*/certificates", Words(16), Live),
+    field("caller/*/jobs_per_s", Number(0.0, 1e9), Live),
+    field("caller/*/revoked", Truth, Live),
+    field("revoked/tokens", Words(4096), Live),
+    field("revoked/certificates", Words(4096), Live),
+    field("revoked/keys", Words(64), Live),
+];
+
+/// What a document is about. Each kind is versioned, tried and kept by itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Use cases, customers, promises, limits, addresses.
+    #[default]
+    Serving,
+    /// Keys, callers, rights.
+    Identity,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 2] = [Kind::Serving, Kind::Identity];
+
+    /// As on the wire.
+    pub fn word(self) -> &'static str {
+        match self {
+            Kind::Serving => "serving",
+            Kind::Identity => "identity",
+        }
+    }
+
+    pub fn of_word(word: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.word() == word)
+    }
+
+    pub fn fields(self) -> &'static [Field] {
+        match self {
+            Kind::Serving => &FIELDS,
+            Kind::Identity => &IDENTITY_FIELDS,
+        }
+    }
+
+    /// The line of the table that a path belongs to.
+    pub fn known(self, path: &str) -> Option<&'static Field> {
+        self.fields().iter().find(|field| matches(path, field.path))
+    }
+}
+
 /// The longest name of a use case, customer or node, in bytes.
 pub const LONGEST_NAME: usize = 64;
 
@@ -148,19 +245,16 @@
     (1..=LONGEST_NAME).contains(&name.len()) && name.bytes().all(fits)
 }
 
-/// The line of the table that a path belongs to.
-pub fn known(path: &str) -> Option<&'static Field> {
-    FIELDS.iter().find(|field| {
-        let (mut parts, mut of_table) = (path.split('/'), field.path.split('/'));
-        loop {
-            match (parts.next(), of_table.next()) {
-                (None, None) => return true,
-                (Some(part), Some("*")) if is_name(part) => {}
-                (Some(part), Some(same)) if part == same => {}
-                _ => return false,
-            }
+fn matches(path: &str, of_table: &str) -> bool {
+    let (mut parts, mut of_table) = (path.split('/'), of_table.split('/'));
+    loop {
+        match (parts.next(), of_table.next()) {
+            (None, None) => return true,
+            (Some(part), Some("*")) if is_name(part) => {}
+            (Some(part), Some(same)) if part == same => {}
+            _ => return false,
         }
-    })
+    }
 }
 
 /// A path as people read it.
@@ -198,6 +292,13 @@
         }
     }
 
+    pub fn words(&self, path: &str) -> &[String] {
+        match self.get(path) {
+            Some(Scalar::Words(words)) => words,
+            _ => &[],
+        }
+    }
+
     pub fn truth(&self, path: &str) -> Option<bool> {
         match self.get(path) {
             Some(Scalar::Truth(truth)) => Some(*truth),
@@ -258,6 +359,7 @@
                 Scalar::Truth(truth) => text.push_str(&format!("{name} = {truth}\n")),
                 Scalar::Number(number) => text.push_str(&format!("{name} = {}\n", written(*number))),
                 Scalar::Word(word) => text.push_str(&format!("{name} = {}\n", json!(word))),
+                Scalar::Words(words) => text.push_str(&format!("{name} = {}\n", json!(words))),
             }
         }
         text
@@ -282,7 +384,8 @@
     /// The fields that it touches, and what only a start takes in of them.
     pub fn staged(&self) -> Vec<String> {
         let touched = self.set.keys().chain(&self.gone);
-        let at_start = touched.filter(|path| known(path).is_some_and(|field| field.takes == Takes::AtStart));
+        let at_start = touched
+            .filter(|path| Kind::Serving.known(path).is_some_and(|field| field.takes == Takes::AtStart));
         at_start.map(|path| shown(path)).collect()
     }
 
--- a/crates/hazelgrade-config/src/lib.rs
+++ b/crates/hazelgrade-config/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use document::Document;
 pub use fault::Fault;
-pub use fields::{Difference, Fields, Scalar, Takes};
+pub use fields::{Difference, Fields, Kind, Scalar, Takes};
 pub use operator::Operator;
 pub use version::{Digest, Version};
 
--- a/crates/hazelgrade-config/src/operator.rs
+++ b/crates/hazelgrade-config/src/operator.rs
@@ -15,8 +15,24 @@
 pub struct Operator {
     /// Streamed configuration; off without it.
     pub stream: Option<Streamed>,
+    /// Who callers are and what they may ask for; without it nobody is asked.
+    pub identity: Option<Identified>,
 }
 
+/// Where keys, callers and rights come from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Identified {
+    /// The identity document of a node that follows no control service for it, or has kept nothing yet.
+    pub document: Option<PathBuf>,
+    /// Follow the control services of `[stream]` for it too.
+    pub streamed: bool,
+    /// How an identity document is tried out: short, for a revocation waits for the trial before it.
+    pub trial: Trial,
+}
+
+/// An identity document shows within a second whether callers' tokens are still known.
+const IDENTITY_TRIAL_MS: f64 = 1000.0;
+
 /// How a node takes its configuration from a control service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Streamed {
@@ -115,6 +131,35 @@
     }
 }
 
+impl Parts {
+    fn identity(&mut self, stream: bool) -> Option<Identified> {
+        if !self.found.keys().any(|path| path.starts_with("identity/")) {
+            return None;
+        }
+        self.found.remove("identity/");
+        let document = self.word("identity/document").map(PathBuf::from);
+        let at = self.found.get("identity/streamed").map_or(0, |(_, at)| *at);
+        let streamed = self.one("identity/streamed", Some(Holds::Truth)) == Some(Scalar::Truth(true));
+        if streamed && !stream {
+            self.reading.fault(
+                at,
+                "identity/streamed",
+                "expected a table [stream] too: it names the control services",
+            );
+        }
+        if !streamed && document.is_none() {
+            self.reading.fault(
+                0,
+                "identity/document",
+                "is missing: with streamed = false there is no other source",
+            );
+        }
+        let span = self.number("identity/trial_ms", Holds::Number(100.0, 3_600_000.0));
+        let trial = Trial { span: Span::from_ms(span.unwrap_or(IDENTITY_TRIAL_MS)), ..Trial::default() };
+        Some(Identified { document, streamed, trial })
+    }
+}
+
 impl Operator {
     /// Reads the operator's file; on failure gives all faults, each with its line.
     pub fn read(text: &str, file: &str) -> Result<Operator, Vec<Fault>> {
@@ -144,11 +189,12 @@
             let store = PathBuf::from(store.unwrap_or_default());
             stream = Some(Streamed { control, store, document, lineage, trial });
         }
+        let identity = parts.identity(stream.is_some());
         for (path, (_, at)) in std::mem::take(&mut parts.found) {
             parts.reading.fault(at, &path, "there is no such field");
         }
         match parts.reading.faults {
-            faults if faults.is_empty() => Ok(Operator { stream }),
+            faults if faults.is_empty() => Ok(Operator { stream, identity }),
             faults => Err(faults),
         }
     }
--- a/crates/hazelgrade-config/tests/documents.rs
+++ b/crates/hazelgrade-config/tests/documents.rs
@@ -1,7 +1,7 @@
 //! Documents read, wrong in every way, compared, and written again.
 
 use hazelgrade_config::fields::{FIELDS, Holds, LEVELS, REPEATS};
-use hazelgrade_config::{Difference, Document, Fields, Operator, Scalar, Takes};
+use hazelgrade_config::{Difference, Document, Fields, Kind, Operator, Scalar, Takes};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::path::PathBuf;
 
@@ -92,6 +92,8 @@
                     Holds::Number(least, most) => Scalar::Number(least + (most - least) * part),
                     Holds::Whole(least, most) => Scalar::Number((least + (most - least) * part).floor()),
                     Holds::Word(words) => Scalar::Word(words[u8::arbitrary(g) as usize % words.len()].into()),
+                    Holds::Text(_) => Scalar::Word("text".into()),
+                    Holds::Words(_) => Scalar::Words(vec!["one".into(), "two,3".into()]),
                     Holds::Address => Scalar::Word(format!("127.0.0.1:{}", 1 + u16::arbitrary(g) / 2)),
                 };
                 fields.0.insert(field.path.replace('*', name), value);
@@ -119,7 +121,7 @@
 #[test]
 fn a_document_written_and_read_is_the_same_and_so_is_one_that_a_difference_made() {
     fn holds(Right(one): Right, Right(other): Right) -> bool {
-        let document = Document::of_fields(one.clone(), "one").expect("it is right");
+        let document = Document::of_fields(Kind::Serving, one.clone(), "one").expect("it is right");
         let again = Document::read(&document.to_toml(), "again").expect("what it writes is right");
         let difference = one.difference(&other);
         let on_wire = Difference::of_json(&difference.to_json()).expect("it reads what it wrote");
--- a/crates/hazelgrade-demo/src/measure/streaming.rs
+++ b/crates/hazelgrade-demo/src/measure/streaming.rs
@@ -9,7 +9,7 @@
 use hazelgrade::chance::Chance;
 use hazelgrade::time::{Span, Time};
 use hazelgrade_config::operator::Trial;
-use hazelgrade_config::{Document, Version};
+use hazelgrade_config::{Document, Kind, Version};
 use hazelgrade_net::bell::Bell;
 use hazelgrade_standins::callers::{Fate, Told};
 use hazelgrade_standins::documents::{BOOK, READ, document, text};
@@ -94,7 +94,7 @@
         let Some(store) = self.store.clone() else { return async { Ok(()) }.boxed_local() };
         let keeping = blocking::unblock(move || {
             let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
-            store.keep(&[(kept::NAME, Some(&bytes))]).map_err(failed)
+            store.keep(&[(kept::name(Kind::Serving), Some(&bytes))]).map_err(failed)
         });
         keeping.boxed_local()
     }
@@ -114,6 +114,7 @@
 
 fn follower(name: String, controls: usize, seed: u64, backoff: Backoff) -> Start {
     Start {
+        kind: Kind::Serving,
         node: name,
         program: "measure".into(),
         lineage: None,
--- /dev/null
+++ b/crates/hazelgrade-identity/src/desk.rs
@@ -0,0 +1,146 @@
+//! Answers for each job who asks and whether it may. The set can be replaced at any time: what was verified before is
+//! weighed under the new one with the next job.
+
+use crate::audit::{Audit, Line};
+use crate::book::{Book, digest};
+use crate::doubt::Doubt;
+use crate::set::{CallerId, Identity};
+use crate::token::{Refused, Verified, stands, verify};
+use hazelgrade::time::Time;
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+
+/// Tokens that are remembered: some 200 bytes each.
+pub const REMEMBERED: usize = 16 * 1024;
+
+/// What a certificate says, once its chain was verified.
+#[derive(Clone, Debug, Default)]
+pub struct Certificate {
+    /// Its alternative names, URIs and DNS names.
+    pub names: Vec<String>,
+    /// In hex.
+    pub serial: String,
+    pub expires: Option<Time>,
+}
+
+/// What a connection is known by.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    pub token: Option<Rc<Verified>>,
+    pub certificate: Option<Rc<Certificate>>,
+}
+
+pub struct Desk {
+    identity: Identity,
+    book: Book,
+    doubt: Doubt,
+    audit: Audit,
+    /// Signatures that were checked.
+    pub checked: u64,
+}
+
+impl Desk {
+    /// `None` if no key of the set verifies now.
+    pub fn new(identity: Identity, now: Time) -> Option<Desk> {
+        let (book, doubt, audit) = (Book::new(REMEMBERED), Doubt::default(), Audit::default());
+        identity.verifies_at(now).then_some(Desk { identity, book, doubt, audit, checked: 0 })
+    }
+
+    /// Another set from now on; turned down, and nothing changed, if no key of it verifies now.
+    pub fn replace(&mut self, identity: Identity, now: Time) -> Result<(), &'static str> {
+        if !identity.verifies_at(now) {
+            return Err("no key of the set is valid now: nobody could be let in");
+        }
+        self.identity = identity;
+        Ok(())
+    }
+
+    /// The site's names have other places.
+    pub fn compile(&mut self, use_cases: &BTreeMap<&str, usize>, customers: &BTreeMap<&str, usize>) {
+        self.identity.compile(use_cases, customers);
+    }
+
+    /// Who shows this token.
+    pub fn token(&mut self, now: Time, token: &str, from: IpAddr) -> Result<Rc<Verified>, Refused> {
+        let known = digest(token);
+        if let Some(verified) = self.book.find(&known) {
+            return Ok(verified);
+        }
+        let verified = if self.doubt.doubts(now, from) {
+            Err(Refused::Doubted)
+        } else {
+            self.checked += 1;
+            verify(&self.identity, token, now)
+        };
+        match verified {
+            Ok(verified) => {
+                let verified = Rc::new(verified);
+                self.book.note(known, verified.clone());
+                Ok(verified)
+            }
+            Err(refused) => {
+                if refused != Refused::Doubted {
+                    self.doubt.bad(now, from);
+                }
+                Err(refused)
+            }
+        }
+    }
+
+    /// The caller, by what its connection is known by.
+    fn caller(&self, now: Time, known: &Known) -> Result<CallerId, Refused> {
+        if let Some(verified) = &known.token {
+            return stands(&self.identity, verified, now);
+        }
+        let certificate = known.certificate.as_ref().ok_or(Refused::Nameless)?;
+        if self.identity.certificate_revoked(&certificate.serial) {
+            return Err(Refused::Revoked);
+        }
+        if certificate.expires.is_some_and(|expires| expires <= now) {
+            return Err(Refused::Expired);
+        }
+        let names = certificate.names.iter().map(String::as_str);
+        self.identity.certified(names).ok_or(Refused::UnknownCaller)
+    }
+
+    /// The customer that a job is for, if whoever asks may ask for that.
+    pub fn may(
+        &self,
+        now: Time,
+        known: &Known,
+        use_case: usize,
+        customer: Option<usize>,
+        from: IpAddr,
+    ) -> Result<usize, Refused> {
+        let caller = self.caller(now, known)?;
+        self.identity.may(caller, use_case, customer, from)
+    }
+
+    /// Notes a refusal.
+    pub fn refused(&mut self, now: Time, known: &Known, refused: Refused) {
+        let caller = match (&known.token, &known.certificate) {
+            (Some(verified), _) => self.identity.caller(&verified.caller),
+            (None, Some(certificate)) => {
+                self.identity.certified(certificate.names.iter().map(String::as_str))
+            }
+            (None, None) => None,
+        };
+        // A name that the set doesn't know is whatever somebody wrote.
+        let name = caller.map(|caller| self.identity.name(caller));
+        self.audit.refused(now, name, refused);
+    }
+
+    /// Lines for the log that are due.
+    pub fn audit(&mut self, now: Time) -> Vec<Line> {
+        self.audit.due(now)
+    }
+
+    pub fn refusals(&self) -> u64 {
+        self.audit.total
+    }
+
+    pub fn remembered(&self) -> usize {
+        self.book.count()
+    }
+}
--- a/crates/hazelgrade-server/src/program/command.rs
+++ b/crates/hazelgrade-server/src/program/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use super::streaming::read_document;
-use super::{configuration, control, logging, serve};
+use super::{configuration, control, identity, keys, logging, serve};
 use hazelgrade_config::{Operator, fault};
 use hazelgrade_site::Site;
 use hazelgrade_stream::service::Setup;
@@ -10,24 +10,25 @@
 use std::process::ExitCode;
 use tracing::level_filters::LevelFilter;
 
-const USAGE: &str = "\
+const USAGE_BUT_KEYS: &str = "\
 hazelgrade: decides what one service instance takes, runs and turns away
 
 usage:
   hazelgrade serve [--config FILE] [--operator FILE] [--log LEVEL]
                                      serve until SIGTERM; SIGHUP reads the configuration again
-  hazelgrade check [--config FILE] [--operator FILE] [--document FILE]
+  hazelgrade check [--config FILE] [--operator FILE] [--document FILE] [--identity FILE]
                                      say what is wrong with these files, or what they would do
   hazelgrade control --documents DIR --listen ADDRESS [--lineage NAME] [--admit RATE]
                                      publish DIR/serving.toml to the nodes that follow
   hazelgrade status --control ADDRESS
                                      say who runs which version
-  hazelgrade version
+{KEYS}  hazelgrade version
   hazelgrade help
 
   --config FILE     the configuration; else the file that PROXY_CONFIG names
   --operator FILE   the operator's own file in TOML: what is switched on beyond the platform's side
   --document FILE   a serving document, as a control service publishes it
+  --identity FILE   an identity document: keys, callers, rights
   --lineage NAME    whose versions these are; else as kept in DIR, or made up and kept there
   --admit RATE      nodes that are taken on in a second (200 usually); others are told when to come back
   --log LEVEL       off, error, warn, info (the usual level), debug or trace
@@ -52,9 +53,10 @@
 }
 
 fn run(mut arguments: Arguments) -> Result<ExitCode, String> {
-    let usage = |message: String| format!("{message}\n{USAGE}");
+    let all_usage = USAGE_BUT_KEYS.replace("{KEYS}", keys::USAGE);
+    let usage = |message: String| format!("{message}\n{all_usage}");
     if arguments.contains(["-h", "--help"]) {
-        print!("{USAGE}");
+        print!("{all_usage}");
         return Ok(ExitCode::SUCCESS);
     }
     let word = arguments.subcommand().map_err(|error| usage(error.to_string()))?;
@@ -71,10 +73,16 @@
     if word == "check" {
         let named = arguments.opt_value_from_str("--document");
         files.document = named.map_err(|error| usage(error.to_string()))?;
+        let named = arguments.opt_value_from_str("--identity");
+        files.identity = named.map_err(|error| usage(error.to_string()))?;
     }
     if word == "control" {
         control = Some(setup(&mut arguments).map_err(|error| usage(error.to_string()))?);
     }
+    let mut of_keys = None;
+    if word == "keys" {
+        of_keys = Some(keys::Asked::of(&mut arguments).map_err(|error| usage(error.to_string()))?);
+    }
     if word == "status" {
         let address = arguments.value_from_str("--control");
         asked = Some(address.map_err(|error| usage(error.to_string()))?);
@@ -100,7 +108,7 @@
             let (deployment, path) = configured()?;
             let operator = files.operator()?.unwrap_or_default();
             let (log, handle) = logging::start(level);
-            let left_clean = serve::serve(deployment, path, operator.stream, (handle, level));
+            let left_clean = serve::serve(deployment, path, operator, (handle, level));
             drop(log);
             Ok(if left_clean? { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
@@ -143,12 +151,17 @@
             print!("{}", control::status(address)?);
             Ok(ExitCode::SUCCESS)
         }
+        "keys" => {
+            let Some(asked) = of_keys else { return Err(usage("words are missing".into())) };
+            print!("{}", asked.run()?);
+            Ok(ExitCode::SUCCESS)
+        }
         "version" => {
             println!("hazelgrade {}", env!("CARGO_PKG_VERSION"));
             Ok(ExitCode::SUCCESS)
         }
         "help" => {
-            print!("{USAGE}");
+            print!("{all_usage}");
             Ok(ExitCode::SUCCESS)
         }
         other => Err(usage(format!("unknown command {other}"))),
@@ -177,6 +190,7 @@
 struct Files {
     operator: Option<PathBuf>,
     document: Option<PathBuf>,
+    identity: Option<PathBuf>,
 }
 
 /// Faults that are shown of a file.
@@ -184,7 +198,7 @@
 
 impl Files {
     fn any(&self) -> bool {
-        self.operator.is_some() || self.document.is_some()
+        self.operator.is_some() || self.document.is_some() || self.identity.is_some()
     }
 
     fn operator(&self) -> Result<Option<Operator>, String> {
@@ -215,6 +229,12 @@
                 None => println!("nothing beyond the platform's side is switched on"),
             }
         }
+        if let Some(path) = &self.identity {
+            let document = identity::read_document(path)?;
+            println!("{}: digest {}", path.display(), document.digest());
+            println!("keys: {}", document.fields().names("key").join(", "));
+            println!("callers: {}", document.fields().names("caller").join(", "));
+        }
         if let Some(path) = &self.document {
             let document = read_document(path)?;
             println!("{}: digest {}", path.display(), document.digest());
--- a/crates/hazelgrade-server/src/program/mod.rs
+++ b/crates/hazelgrade-server/src/program/mod.rs
@@ -4,6 +4,8 @@
 pub mod configuration;
 pub mod control;
 pub mod drain;
+pub mod identity;
+pub mod keys;
 pub mod logging;
 pub mod reload;
 pub mod serve;
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -1,11 +1,12 @@
 //! `serve`: one service instance, from its start to its exit.
 
 use super::configuration::Deployment;
-use super::drain;
 use super::logging::Level;
 use super::reload::Reload;
 use super::streaming::{Kit, Surroundings};
+use super::{drain, identity};
 use crate::protocol::registry;
+use crate::routing::callers::Callers;
 use crate::routing::calls::Calls;
 use crate::routing::front::Front;
 use crate::routing::hand::Hand;
@@ -23,7 +24,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use futures_lite::future::{BoxedLocal, or};
-use hazelgrade_config::operator::Streamed;
+use hazelgrade_config::Operator;
 use hazelgrade_net::bell::Bell;
 use hazelgrade_stream::follow::Follow;
 use std::cell::{Cell, RefCell};
@@ -40,14 +41,15 @@
 
 /// Serves until the notice to leave, then leaves; each SIGHUP until the end has the file at `path` read again. `Ok(true)` if every answer was written.
 ///
-/// With `streamed`, use cases, customers, promises and addresses come as documents; what the deployment says of use cases and
+/// With `[stream]` in the operator's file, use cases, customers, promises and addresses come as documents; what the deployment says of use cases and
 /// customers doesn't count then.
 pub fn serve(
     mut deployment: Deployment,
     path: PathBuf,
-    streamed: Option<Streamed>,
+    operator: Operator,
     log: (Level, LevelFilter),
 ) -> Result<bool, String> {
+    let Operator { stream: streamed, identity: identified } = operator;
     let kit = streamed.as_ref().map(|streamed| Kit::open(streamed, &deployment.name)).transpose()?;
     if let Some(kit) = &kit {
         let (sockets, memory_mb) = kit.limits();
@@ -86,6 +88,7 @@
         link: link.clone(),
         site: RefCell::new(Rc::new(site)),
         tally: RefCell::new(Tally::default()),
+        callers: Callers::default(),
     });
     let front = Rc::new(Front {
         parts: parts.clone(),
@@ -112,7 +115,19 @@
         registry,
         rounds: rounds.clone(),
     });
-    let left = Rc::new(Bell::default());
+    let (left, identity_left) = (Rc::new(Bell::default()), Rc::new(Bell::default()));
+    let identity_file = RefCell::new(None);
+    if let Some(identified) = identified {
+        let known = identity::start(&identified, streamed.as_ref(), kit.as_ref(), &deployment, &parts)?;
+        if let Some((follow, subscriber, first)) = known {
+            let (tasks, leaving) = (tasks.clone(), identity_left.clone());
+            let follow = Follow { tasks, leaving, ..follow };
+            start(Box::pin(async move { follow.run(subscriber, first).await }));
+        }
+        identity_file.replace(identified.document.filter(|_| !identified.streamed));
+        let audited = parts.clone();
+        start(Box::pin(async move { identity::audit(&audited).await }));
+    }
     if let Some((kit, streamed)) = kit.zip(streamed) {
         let (level, usual_level) = log;
         let surroundings = Surroundings {
@@ -143,7 +158,12 @@
     let signalled = async {
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => reload.reload(),
+                Ok(Signal::Hup) => {
+                    reload.reload();
+                    if let Some(path) = &*identity_file.borrow() {
+                        identity::reload(path, &parts);
+                    }
+                }
                 _ if noticed.get().is_none() => {
                     // If the process stood still, the notice came while it did: at the worst, as soon as it was
                     // last seen to run.
@@ -160,6 +180,7 @@
         let noticed = noticed.get().unwrap_or_else(|| rounds.alive());
         leaving.set(true);
         left.ring();
+        identity_left.ring();
         rounds.beat_now();
         Ok(drain::leave(&front, accepting, listener, noticed, deployment.stop).await)
     };
--- a/crates/hazelgrade-server/src/program/streaming.rs
+++ b/crates/hazelgrade-server/src/program/streaming.rs
@@ -10,7 +10,7 @@
 use hazelgrade::time::{Span, Time};
 use hazelgrade_config::document::{MOST_CUSTOMERS, MOST_USE_CASES};
 use hazelgrade_config::operator::Streamed;
-use hazelgrade_config::{Document, fault};
+use hazelgrade_config::{Document, Kind, fault};
 use hazelgrade_site::places::Places;
 use hazelgrade_site::{Named, Site};
 use hazelgrade_store::{Fault, Store};
@@ -35,7 +35,7 @@
 
 /// What a node has to start from.
 pub struct Kit {
-    store: Result<Arc<Mutex<Store>>, String>,
+    pub store: Result<Arc<Mutex<Store>>, String>,
     kept: Kept,
     /// What was kept, if it can't be read.
     unread: Option<Vec<u8>>,
@@ -57,12 +57,12 @@
         let file = streamed.document.as_deref().map(read_document).transpose()?;
         let mut kit = Kit { store: Err(String::new()), kept: Kept::default(), unread: None, file };
         let opened = Store::open(&streamed.store, owner).and_then(|mut store| {
-            let kept = store.get(kept::NAME)?;
+            let kept = store.get(kept::name(Kind::Serving))?;
             Ok((store, kept))
         });
         match opened {
             Ok((store, kept)) => {
-                match kept.as_deref().map(Kept::decode).transpose() {
+                match kept.as_deref().map(|kept| Kept::decode(Kind::Serving, kept)).transpose() {
                     Ok(kept) => kit.kept = kept.unwrap_or_default(),
                     Err(why) => {
                         tracing::error!("field stream.store: {shown}: what was kept can't be read, {why}");
@@ -97,6 +97,7 @@
     ) -> (Subscriber, Vec<Action>, Node) {
         let Kit { store, kept, unread, file } = self;
         let start = Start {
+            kind: Kind::Serving,
             node: deployment.name.clone(),
             program: env!("CARGO_PKG_VERSION").into(),
             lineage: streamed.lineage.clone(),
@@ -236,6 +237,7 @@
                 .collect(),
             ..(*before).clone()
         }));
+        parts.callers.compile(&parts.site.borrow());
         self.use_cases.replace(use_cases);
         self.customers.replace(customers);
         parts.rounds.set_ready(document.is_some());
@@ -258,7 +260,7 @@
             let (store, unread) = (store?, aside.borrow().clone());
             let kept = blocking::unblock(move || {
                 let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
-                let mut changes = vec![(kept::NAME, Some(bytes.as_slice()))];
+                let mut changes = vec![(kept::name(Kind::Serving), Some(bytes.as_slice()))];
                 changes.extend(unread.as_deref().map(|unread| (UNREAD, Some(unread))));
                 store.keep(&changes).map_err(|fault| fault.to_string())
             })
@@ -278,7 +280,8 @@
     fn sample(&self) -> Sample {
         let parts = &self.surroundings.parts;
         let tally = *parts.tally.borrow();
-        let answered = tally.satisfied + tally.bounced + tally.written_off + tally.not_here;
+        let answered =
+            tally.satisfied + tally.bounced + tally.written_off + tally.not_here + tally.unverified;
         let (answered_before, satisfied_before) = self.told.replace((answered, tally.satisfied));
         Sample {
             answered: answered.saturating_sub(answered_before) as f64,
--- a/crates/hazelgrade-server/src/protocol/jsonrpc.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc.rs
@@ -3,6 +3,7 @@
 use super::{Body, is_body};
 use hazelgrade::desk::{Job, JobId, Repeats};
 use hazelgrade::time::{Span, Time};
+use hazelgrade_identity::token::LONGEST_TOKEN;
 use hazelgrade_site::Site;
 use serde_json::{Map, Value, json};
 
@@ -27,6 +28,8 @@
     /// A caller no longer waits: for the call with this number on its connection, or for this job.
     Abort(Option<u64>, Option<JobId>),
     Check(u64),
+    /// Says who speaks on this connection, by a token.
+    Hello(u64, String),
 }
 
 /// A job as it was asked for, with the number of its call on its connection.
@@ -37,6 +40,10 @@
     pub body: Body,
     /// By which further tries of a numbered job, or reads of the same thing, are known.
     pub mark: Option<String>,
+    /// Who asks, if it is said with the job.
+    pub token: Option<String>,
+    /// The customer is named; else it is the caller's only one.
+    pub for_customer: bool,
 }
 
 /// What is wrong with a message, as the answer to it tells.
@@ -53,7 +60,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Satisfied(Body),
-    Bounced { not_elsewhere: bool, back_in: Span },
+    Bounced {
+        not_elsewhere: bool,
+        back_in: Span,
+    },
+    /// Who asks may not: it never ran, and would run nowhere.
+    Denied(&'static str),
     WrittenOff,
 }
 
@@ -111,6 +123,11 @@
     if method == "ping" {
         return Ok(Incoming::Check(number));
     }
+    if method == "hello" && site.callers_known {
+        let token = token(&mut params).map_err(|message| wrong(call, WRONG_PARAMS, &message))?;
+        let token = token.ok_or_else(|| wrong(call, WRONG_PARAMS, "field token: expected a token"))?;
+        return Ok(Incoming::Hello(number, token));
+    }
     let use_case = match site.use_case(&method) {
         Some((use_case, true)) => use_case,
         known => {
@@ -125,6 +142,14 @@
     }
 }
 
+fn token(params: &mut Params) -> Result<Option<String>, String> {
+    match params.0.remove("token") {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::String(token)) if (1..=LONGEST_TOKEN).contains(&token.len()) => Ok(Some(token)),
+        Some(_) => Err(format!("field token: expected a token of {LONGEST_TOKEN} bytes at most")),
+    }
+}
+
 fn asked(call: u64, use_case: usize, params: &mut Params, site: &Site) -> Result<Asked, String> {
     let id = params.text("req", "a job's id")?;
     if !id.bytes().all(|byte| byte.is_ascii_graphic()) {
@@ -133,13 +158,14 @@
     let reached = params.number("ts", |ts| ts > 0.0 && ts < 1e15, "Unix milliseconds")?;
     params.number("via", |via| via >= 0.0 && via.fract() == 0.0, "a whole number")?;
     let owner = params.text_or_none("owner", "a customer of this site")?;
+    let for_customer = owner.is_some();
     let customer = match owner {
         Some(owner) => site.customers.iter().position(|name| name.as_ref() == Some(&owner)),
         None => None,
     };
     let customer = match customer {
         Some(customer) => customer,
-        None if site.customers.iter().all(Option::is_none) => 0,
+        None if site.customers.iter().all(Option::is_none) || (!for_customer && site.callers_known) => 0,
         None => return Err("field owner: expected a customer of this site".into()),
     };
     let again = match params.0.get("resent") {
@@ -171,7 +197,8 @@
         repeats: None,
         known: false,
     };
-    Ok(Asked { call, job, body, mark })
+    let token = if site.callers_known { token(params)? } else { None };
+    Ok(Asked { call, job, body, mark, token, for_customer })
 }
 
 fn line(value: &Value) -> String {
@@ -203,10 +230,25 @@
             }
             error(BOUNCED, "bounced: this try never ran", fields)
         }
+        Answer::Denied(why) => {
+            fields.insert("nomore".into(), json!(1));
+            fields.insert("denied".into(), json!(1));
+            error(BOUNCED, why, fields)
+        }
         Answer::WrittenOff => error(WRITTEN_OFF, "written off", fields),
     }
 }
 
+/// The answer to a `hello`: who the caller is taken for.
+pub fn encode_hello(call: u64, caller: Result<&str, &str>) -> String {
+    match caller {
+        Ok(caller) => line(&json!({"jsonrpc": "2.0", "id": call, "result": {"caller": caller}})),
+        Err(why) => {
+            line(&json!({"jsonrpc": "2.0", "id": call, "error": {"code": WRONG_PARAMS, "message": why}}))
+        }
+    }
+}
+
 pub fn encode_check(call: u64, good: bool, said: Option<f64>) -> String {
     let mut result = json!({"up": good});
     if let Some(said) = said {
--- /dev/null
+++ b/crates/hazelgrade-server/src/routing/callers.rs
@@ -0,0 +1,124 @@
+//! Who asks: what each connection is known by, and whether what it asks for may be.
+
+use crate::protocol::jsonrpc::Asked;
+use hazelgrade::time::Time;
+use hazelgrade_identity::desk::{Desk, Known};
+use hazelgrade_identity::{Identity, Refused};
+use hazelgrade_site::Site;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+/// A connection's caller.
+pub struct Caller {
+    pub from: IpAddr,
+    pub known: RefCell<Known>,
+}
+
+/// All callers, if they are asked who they are.
+#[derive(Default)]
+pub struct Callers {
+    on: Cell<bool>,
+    desk: RefCell<Option<Desk>>,
+}
+
+impl Callers {
+    /// From now on every job needs a caller that may ask for it; until there is a set, none may.
+    pub fn switch_on(&self) {
+        self.on.set(true);
+    }
+
+    pub fn are_on(&self) -> bool {
+        self.on.get()
+    }
+
+    /// Another set of keys, callers and rights, from the next job on.
+    pub fn replace(&self, mut identity: Identity, site: &Site, now: Time) -> Result<(), &'static str> {
+        let (use_cases, customers) = places(site);
+        identity.compile(&use_cases, &customers);
+        let mut desk = self.desk.borrow_mut();
+        match &mut *desk {
+            Some(desk) => desk.replace(identity, now),
+            None => {
+                let new = Desk::new(identity, now)
+                    .ok_or("no key of the set is valid now: nobody could be let in")?;
+                *desk = Some(new);
+                Ok(())
+            }
+        }
+    }
+
+    /// There is no set any more: nobody may ask.
+    pub fn none(&self) {
+        self.desk.replace(None);
+    }
+
+    /// The site's names have other places.
+    pub fn compile(&self, site: &Site) {
+        if let Some(desk) = &mut *self.desk.borrow_mut() {
+            let (use_cases, customers) = places(site);
+            desk.compile(&use_cases, &customers);
+        }
+    }
+
+    /// A connection says who it is.
+    pub fn hello(&self, now: Time, caller: &Caller, token: &str) -> Result<String, Refused> {
+        let mut desk = self.desk.borrow_mut();
+        let desk = desk.as_mut().ok_or(Refused::UnknownKey)?;
+        match desk.token(now, token, caller.from) {
+            Ok(verified) => {
+                let name = verified.caller.clone();
+                caller.known.borrow_mut().token = Some(verified);
+                Ok(name)
+            }
+            Err(refused) => {
+                desk.refused(now, &caller.known.borrow(), refused);
+                Err(refused)
+            }
+        }
+    }
+
+    /// Whether a job may be asked for, and if its customer is not named, which it is.
+    pub fn may(&self, now: Time, caller: &Caller, asked: &mut Asked) -> Result<(), Refused> {
+        if !self.on.get() {
+            return Ok(());
+        }
+        let mut desk = self.desk.borrow_mut();
+        let desk = desk.as_mut().ok_or(Refused::UnknownKey)?;
+        let customer = asked.for_customer.then_some(asked.job.customer);
+        let with_job = asked.token.take().map(|token| desk.token(now, &token, caller.from)).transpose();
+        let known = caller.known.borrow();
+        let may = with_job.and_then(|token| {
+            let own = token.map(|token| Known { token: Some(token), certificate: None });
+            desk.may(now, own.as_ref().unwrap_or(&known), asked.job.use_case, customer, caller.from)
+        });
+        match may {
+            Ok(customer) => {
+                asked.job.customer = customer;
+                Ok(())
+            }
+            Err(refused) => {
+                desk.refused(now, &known, refused);
+                Err(refused)
+            }
+        }
+    }
+
+    /// Lines for the log that are due, written.
+    pub fn audit(&self, now: Time) {
+        let lines = self.desk.borrow_mut().as_mut().map(|desk| desk.audit(now)).unwrap_or_default();
+        for line in lines {
+            let caller = line.caller.as_deref().unwrap_or("-");
+            tracing::warn!(caller, reason = line.refused.reason(), count = line.count, "refused");
+        }
+    }
+}
+
+fn places(site: &Site) -> (BTreeMap<&str, usize>, BTreeMap<&str, usize>) {
+    let use_cases = site.use_cases.iter().enumerate().filter(|(_, case)| case.in_use);
+    let customers = site.customers.iter().enumerate();
+    (
+        use_cases.map(|(place, case)| (case.name.as_str(), place)).collect(),
+        customers.filter_map(|(place, name)| Some((name.as_deref()?, place))).collect(),
+    )
+}
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -1,5 +1,6 @@
 //! What clients send: starts jobs, hears of callers that leave, answers checks and bad input.
 
+use super::callers::Caller;
 use super::hand::{Asker, Words};
 use super::job::{self, Parts};
 use crate::protocol::jsonrpc::{self, Answer, Asked, Incoming, Wrong};
@@ -8,9 +9,10 @@
 use async_io::Async;
 use hazelgrade::desk::{JobId, Repeats};
 use hazelgrade::time::Span;
+use hazelgrade_identity::Refused;
 use hazelgrade_net::ending::ConnectionEnd;
-use std::cell::Cell;
-use std::net::TcpStream;
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, Ipv4Addr, TcpStream};
 use std::rc::Rc;
 
 /// A job can't have reached the machine later than now; by so much clocks may lie apart.
@@ -31,7 +33,9 @@
 
     /// Serves one connection of a client until it ends; callers whose connection is gone are gone.
     async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
-        let on_line = async |client: &Rc<Client<JobId>>, line: &[u8]| self.take(client, line).await;
+        let from = stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
+        let caller = Caller { from, known: RefCell::default() };
+        let on_line = async |client: &Rc<Client<JobId>>, line: &[u8]| self.take(client, &caller, line).await;
         let last_words = |end| match end {
             ConnectionEnd::TooLong => Some(jsonrpc::last_words(true)),
             ConnectionEnd::Misused => Some(jsonrpc::last_words(false)),
@@ -45,13 +49,17 @@
         open.iter().for_each(|id| self.parts.caller_gone(id));
     }
 
-    async fn take(&self, client: &Rc<Client<JobId>>, line: &[u8]) {
+    async fn take(&self, client: &Rc<Client<JobId>>, caller: &Caller, line: &[u8]) {
         let rounds = &self.parts.rounds;
         let site = self.parts.site.borrow().clone();
         match jsonrpc::decode(line, &site) {
-            Ok(Incoming::Job(asked)) => {
+            Ok(Incoming::Job(mut asked)) => {
                 client.room().await;
-                self.arrived(client, *asked);
+                let now = rounds.clock.now();
+                match self.parts.callers.may(now, caller, &mut asked) {
+                    Ok(()) => self.arrived(client, *asked),
+                    Err(refused) => self.deny(client, asked.call, refused),
+                }
             }
             Ok(Incoming::Abort(call, id)) => {
                 // Only what this connection asked for is its to take back.
@@ -60,6 +68,14 @@
                     self.parts.caller_gone(&id);
                 }
             }
+            Ok(Incoming::Hello(call, token)) => {
+                let hello = self.parts.callers.hello(rounds.clock.now(), caller, &token);
+                if hello.is_err() {
+                    client.misused();
+                }
+                let hello = hello.as_deref().map_err(|refused| refused.reason());
+                client.put(&jsonrpc::encode_hello(call, hello));
+            }
             Ok(Incoming::Check(call)) => {
                 client.put(&jsonrpc::encode_check(call, rounds.good(), rounds.said()));
             }
@@ -75,6 +91,16 @@
         }
     }
 
+    /// One clear answer, that it never ran and would run nowhere.
+    fn deny(&self, client: &Client<JobId>, call: u64, refused: Refused) {
+        let mut tally = self.parts.tally.borrow_mut();
+        tally.denied += 1;
+        tally.unverified += u64::from(refused.is_of_keys());
+        client.put(&jsonrpc::encode(call, &Answer::Denied(refused.reason()), self.parts.rounds.said()));
+        // Read at a pace, as one whose jobs are bounced and never run.
+        client.bounced();
+    }
+
     fn refuse(&self, client: &Client<JobId>, wrong: &Wrong) {
         self.bad_lines.set(self.bad_lines.get() + 1);
         client.put(&jsonrpc::encode_wrong(wrong));
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -1,5 +1,6 @@
 //! The life of a job, from its arrival to the end of its run.
 
+use super::callers::Callers;
 use super::calls::Calls;
 use super::hand::{Hand, Turn};
 use super::outcome::{self, CallEnd};
@@ -38,6 +39,10 @@
     pub unwanted: u64,
     /// Asked for what is not served here, or no longer.
     pub not_here: u64,
+    /// Asked for by who may not.
+    pub denied: u64,
+    /// Of these, for what the keys say: a wrong set shows here, a revocation does not.
+    pub unverified: u64,
     /// Jobs that the executor did not know.
     pub not_known: u64,
 }
@@ -52,6 +57,7 @@
     /// As it is served now; a job that has arrived keeps its own.
     pub site: RefCell<Rc<Site>>,
     pub tally: RefCell<Tally>,
+    pub callers: Callers,
 }
 
 impl Parts {
@@ -68,6 +74,7 @@
                 tally.bounced += 1;
                 asker.client.bounced();
             }
+            Answer::Denied(_) => tally.denied += 1,
             Answer::WrittenOff => tally.written_off += 1,
         }
         asker.client.put(&jsonrpc::encode(asker.call, answer, self.rounds.said()));
--- /dev/null
+++ b/crates/hazelgrade-server/tests/identity/main.rs
@@ -0,0 +1,286 @@
+//! Who asks, and whether it may, through real sockets: the operators' tool makes keys and tokens, a node goes by a file or by
+//! what a control service streams.
+
+use hazelgrade_config::Document;
+use hazelgrade_standins::callers::{Fate, Token, Told};
+use hazelgrade_standins::documents::{BOOK, READ, document};
+use hazelgrade_standins::executor::Work;
+use hazelgrade_standins::node::{Node, Plan};
+use hazelgrade_standins::world::{World, callers_with};
+use hazelgrade_standins::{comes_true, free_address, rules, unix_ms};
+use hazelgrade_stream::service;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const SOON: Duration = Duration::from_secs(10);
+const CUT_OFF: Duration = Duration::from_secs(3);
+const GRACE: Duration = Duration::from_millis(250);
+const QUICK: Work = Work { cores: 4, takes: Duration::from_millis(4), calls: false };
+
+const CALLERS: &str = "audience = \"agenda\"\nlongest_token_s = 60\nskew_s = 0\n\n\
+    [caller.front]\nuse_cases = [\"read\"]\ncustomers = [\"c0\"]\n\n\
+    [caller.desk]\nuse_cases = [\"read\", \"book\"]\ncustomers = [\"c0\"]\n";
+
+/// The operators' tool; what it prints.
+fn keys(words: &[&str], set: &Path, private: &Path) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hazelgrade"));
+    command.arg("keys").args(words).arg("--set").arg(set).arg("--private").arg(private);
+    let output = command.output().expect("it starts");
+    assert!(output.status.success(), "{words:?}: {}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8_lossy(&output.stdout).trim().to_owned()
+}
+
+struct Setting {
+    world: World,
+    control: SocketAddr,
+    _control: Child,
+    documents: PathBuf,
+    private: PathBuf,
+}
+
+fn serving() -> Document {
+    document(&[READ, BOOK], 2, "").expect("it is right")
+}
+
+impl Setting {
+    /// A control service with a serving document and an identity document with one key.
+    fn new() -> Setting {
+        let world = World::new(QUICK).expect("ports");
+        let (documents, private) =
+            (world.folder.path().join("documents"), world.folder.path().join("private"));
+        std::fs::create_dir(&documents).expect("a folder");
+        std::fs::write(documents.join(service::DOCUMENT), serving().to_toml()).expect("a file");
+        let set = documents.join("identity.toml");
+        std::fs::write(&set, CALLERS).expect("a file");
+        keys(&["new"], &set, &private);
+        let control = free_address();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hazelgrade"));
+        command.args(["control", "--lineage", "test", "--log", "error", "--documents"]).arg(&documents);
+        let child =
+            command.args(["--listen", &control.to_string()]).stdin(Stdio::null()).spawn().expect("it starts");
+        Setting { world, control, _control: child, documents, private }
+    }
+
+    fn set(&self) -> PathBuf {
+        self.documents.join("identity.toml")
+    }
+
+    fn node(&self, identity: &str) -> Node {
+        let program = Path::new(env!("CARGO_BIN_EXE_hazelgrade"));
+        let stream = format!("lineage = \"test\"\n[stream.trial]\nspan_ms = 100\n{identity}");
+        let plan = self.world.plan("n1", program, &[], self.control, &stream);
+        let node = Plan { log: "error".into(), ..plan }.start().expect("it starts");
+        assert!(node.becomes(true));
+        node
+    }
+
+    fn token(&self, caller: &str, lasts: &str) -> String {
+        keys(&["token", "--caller", caller, "--for", lasts], &self.set(), &self.private)
+    }
+
+    /// Changes the identity document in one step.
+    fn change(&self, change: impl FnOnce(String) -> String) {
+        let next = self.documents.join("next");
+        std::fs::write(&next, change(std::fs::read_to_string(self.set()).expect("a file"))).expect("a file");
+        std::fs::rename(next, self.set()).expect("a file");
+    }
+}
+
+impl Drop for Setting {
+    fn drop(&mut self) {
+        let _ = self._control.kill();
+        let _ = self._control.wait();
+    }
+}
+
+/// A connection, line by line.
+struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    fn of(node: &Node) -> Peer {
+        let stream = TcpStream::connect(node.plan.listen).expect("it listens");
+        stream.set_read_timeout(Some(SOON)).expect("a time-out");
+        Peer(BufReader::new(stream))
+    }
+
+    fn ask(&mut self, message: &Value) -> Value {
+        self.0.get_mut().write_all(format!("{message}\n").as_bytes()).expect("it takes bytes");
+        let mut line = String::new();
+        self.0.read_line(&mut line).expect("a line in time");
+        serde_json::from_str(&line).unwrap_or_else(|_| panic!("not JSON: {line:?}"))
+    }
+
+    fn hello(&mut self, token: &str) -> Value {
+        self.ask(&json!({"jsonrpc": "2.0", "id": 1, "method": "hello", "params": {"token": token}}))
+    }
+
+    fn job(&mut self, call: u64, use_case: &str, owner: Option<&str>, token: Option<&str>) -> Value {
+        self.ask(&json!({"jsonrpc": "2.0", "id": call, "method": use_case, "params": {
+            "req": format!("j{call:04}{:08x}", unix_ms() as u32), "ts": unix_ms(), "via": 1, "owner": owner,
+            "need": 12.5, "level": 0.5, "body": "aGVsbG8=", "token": token}}))
+    }
+}
+
+fn denied(answer: &Value) -> &str {
+    let data = &answer["error"]["data"];
+    assert_eq!(
+        (&answer["error"]["code"], &data["nomore"], &data["denied"]),
+        (&json!(-32066), &json!(1), &json!(1)),
+        "{answer}"
+    );
+    answer["error"]["message"].as_str().unwrap_or_default()
+}
+
+fn satisfied(answer: &Value) -> bool {
+    answer["result"]["body"].is_string()
+}
+
+#[test]
+fn a_caller_asks_for_what_it_may_and_is_told_once_what_it_may_not() {
+    let setting = Setting::new();
+    let file = setting.set();
+    let node = setting.node(&format!("[identity]\ndocument = {file:?}\n"));
+    let mut peer = Peer::of(&node);
+    assert_eq!(denied(&peer.job(2, "read", Some("c0"), None)), "no token or certificate names the caller");
+    // Once for a connection.
+    let front = setting.token("front", "30");
+    assert_eq!(peer.hello(&front)["result"]["caller"], "front");
+    assert!(satisfied(&peer.job(3, "read", Some("c0"), None)));
+    assert!(satisfied(&peer.job(4, "read", None, None)), "its only customer needs no name");
+    assert_eq!(denied(&peer.job(5, "book", Some("c0"), None)), "the caller may not ask for this use case");
+    assert_eq!(denied(&peer.job(6, "read", Some("c1"), None)), "the caller may not ask for this customer");
+    // With a job: another caller on the same connection.
+    let desk = setting.token("desk", "30");
+    assert!(satisfied(&peer.job(7, "book", Some("c0"), Some(&desk))));
+    assert_eq!(denied(&peer.job(8, "book", Some("c0"), None)), "the caller may not ask for this use case");
+    let mut other = Peer::of(&node);
+    let signature = desk.rfind('.').expect("three parts") + 1;
+    let other_letter = if &desk[signature..=signature] == "A" { "B" } else { "A" };
+    let bad = format!("{}{other_letter}{}", &desk[..signature], &desk[signature + 1..]);
+    assert_eq!(other.hello(&bad)["error"]["message"], "the signature is wrong");
+    assert_eq!(denied(&other.job(2, "read", Some("c0"), Some(&bad))), "the signature is wrong");
+    assert!(setting.world.executor.runs().len() == 3, "what was denied never ran");
+
+    // From the file, on SIGHUP: the desk is revoked, on the connection that it has.
+    assert!(satisfied(&peer.job(9, "book", Some("c0"), Some(&desk))));
+    setting.change(|text| text.replace("[caller.desk]\n", "[caller.desk]\nrevoked = true\n"));
+    assert!(node.signal("HUP"));
+    let mut call = 10;
+    assert!(comes_true(SOON, || {
+        call += 1;
+        !satisfied(&peer.job(call, "book", Some("c0"), Some(&desk)))
+    }));
+    assert_eq!(denied(&peer.job(900, "book", Some("c0"), Some(&desk))), "revoked");
+    assert!(satisfied(&peer.job(901, "read", Some("c0"), None)), "the front goes on");
+    // A file that is wrong changes nothing.
+    setting.change(|text| text.replace("audience", "audiences"));
+    assert!(node.signal("HUP"));
+    assert!(satisfied(&peer.job(902, "read", Some("c0"), None)));
+}
+
+#[test]
+fn a_token_that_expires_on_a_living_connection_lets_its_job_end_and_no_other_begin() {
+    let setting = Setting::new();
+    let file = setting.set();
+    setting.world.executor.change(Work { takes: Duration::from_millis(2500), ..QUICK });
+    let patient = document(&[("read", 6000, 8000, 1)], 2, "").expect("it is right");
+    std::fs::write(setting.documents.join(service::DOCUMENT), patient.to_toml()).expect("a file");
+    let node = setting.node(&format!("[identity]\ndocument = {file:?}\n"));
+    let mut peer = Peer::of(&node);
+    let token = setting.token("front", "2");
+    assert_eq!(peer.hello(&token)["result"]["caller"], "front");
+    let began = Instant::now();
+    assert!(satisfied(&peer.job(2, "read", None, None)), "a job that was let in goes on");
+    assert!(began.elapsed() > Duration::from_millis(2400));
+    assert_eq!(denied(&peer.job(3, "read", None, None)), "the token has expired");
+}
+
+#[test]
+fn keys_rotated_each_second_under_load_refuse_no_valid_job_and_a_revoked_caller_is_served_nothing_after_the_bound()
+ {
+    let setting = Setting::new();
+    let node = setting.node("[identity]\nstreamed = true\ntrial_ms = 100\n");
+    let (front, leaves): (Token, Token) = Default::default();
+    let sign =
+        |into: &Arc<Mutex<String>>, caller: &str| *into.lock().expect("a lock") = setting.token(caller, "5");
+    sign(&front, "front");
+    sign(&leaves, "desk");
+    let mut peer = Peer::of(&node);
+    let ready = comes_true(SOON, || {
+        satisfied(&peer.job(unix_ms() % 1_000_000, "read", Some("c0"), Some(&front.lock().expect("a lock"))))
+    });
+    assert!(ready, "the first set arrives");
+    let load = callers_with(node.plan.listen, 100.0, &["read"], Some(front.clone()));
+    let load_of_desk = callers_with(node.plan.listen, 100.0, &["book"], Some(leaves.clone()));
+    for second in 0..5 {
+        // The key signs from when it was sent; the node has it within the bound. Old ones sign on for a while.
+        keys(&["rotate", "--lead", "0.3", "--overlap", "1"], &setting.set(), &setting.private);
+        std::thread::sleep(Duration::from_millis(600));
+        sign(&front, "front");
+        if second < 3 {
+            sign(&leaves, "desk");
+        }
+        if second == 3 {
+            setting.change(|text| text.replace("[caller.desk]\n", "[caller.desk]\nrevoked = true\n"));
+        }
+        std::thread::sleep(Duration::from_millis(400));
+    }
+    let revoked_for = Duration::from_millis(1000);
+    let ((told, twice), (of_desk, _)) = (load.stop(), load_of_desk.stop());
+    let verdict = rules::check(&told, twice, &setting.world.executor.runs(), CUT_OFF, GRACE);
+    assert!(verdict.kept() && verdict.count > 300, "{verdict}");
+    let refused: Vec<&Told> = told.iter().filter(|told| told.fate == Fate::Denied).collect();
+    assert!(refused.is_empty(), "a valid job was refused: {refused:?}");
+    // Of the desk, the last ones: all denied, and none of them ran.
+    let last = of_desk.iter().map(|told| told.sent).max().expect("some");
+    let late: Vec<&Told> =
+        of_desk.iter().filter(|told| told.sent > last - revoked_for + Duration::from_millis(400)).collect();
+    assert!(late.len() > 20 && late.iter().all(|told| told.fate == Fate::Denied), "{late:?}");
+    let runs = setting.world.executor.runs();
+    assert!(of_desk.iter().filter(|told| told.fate == Fate::Denied).all(|told| !runs.contains_key(&told.id)));
+    let served = of_desk.iter().filter(|told| told.fate == Fate::Satisfied).count();
+    assert!(served > 100, "{served} served before");
+}
+
+#[test]
+fn a_flood_of_bad_tokens_is_turned_away_while_others_are_served() {
+    let setting = Setting::new();
+    let file = setting.set();
+    let node = setting.node(&format!("[identity]\ndocument = {file:?}\n"));
+    let token: Token = Arc::new(Mutex::new(setting.token("front", "50")));
+    let load = callers_with(node.plan.listen, 100.0, &["read"], Some(token.clone()));
+    assert!(comes_true(SOON, || load.count() >= 20));
+    let good = token.lock().expect("a lock").clone();
+    let flood: Vec<_> = (0..4)
+        .map(|thread| {
+            let (listen, good) = (node.plan.listen, good.clone());
+            std::thread::spawn(move || {
+                let until = Instant::now() + Duration::from_secs(2);
+                let mut sent = 0;
+                while Instant::now() < until {
+                    let Ok(mut stream) = TcpStream::connect(listen) else { continue };
+                    while Instant::now() < until {
+                        let line = json!({"jsonrpc": "2.0", "id": sent + 1, "method": "hello", "params": {"token": format!("{good}{thread}{sent}")}});
+                        sent += 1;
+                        if stream.write_all(format!("{line}\n").as_bytes()).is_err() {
+                            break;
+                        }
+                    }
+                }
+                sent
+            })
+        })
+        .collect();
+    let sent: u64 = flood.into_iter().map(|thread| thread.join().expect("it ends")).sum();
+    let (told, twice) = load.stop();
+    let verdict = rules::check(&told, twice, &setting.world.executor.runs(), CUT_OFF, GRACE);
+    assert!(sent > 200, "{sent} is no flood");
+    assert!(verdict.kept() && verdict.of(Fate::Satisfied) == verdict.count, "{sent} bad ones: {verdict}");
+    let slowest = told.iter().map(|told| told.after).max().expect("some");
+    assert!(slowest < Duration::from_millis(1000), "{slowest:?}, within the goal time");
+}
--- a/crates/hazelgrade-site/src/lib.rs
+++ b/crates/hazelgrade-site/src/lib.rs
@@ -25,6 +25,8 @@
     pub customers: Vec<Option<String>>,
     /// What the settings promise, for documents that leave it open.
     pub promises: Promises,
+    /// Callers are known: the customer of a job need not be named.
+    pub callers_known: bool,
     /// There is something below to call.
     pub calls_below: bool,
     /// The names of the gauges, in order.
@@ -206,6 +208,7 @@
         customers: names,
         promises: promises.clone(),
         calls_below,
+        callers_known: false,
         gauges: gauges.iter().filter_map(Value::as_str).map(String::from).collect(),
         tick: machine.tick,
         list_follows_health: specifics.truth("readiness")?,
--- a/crates/hazelgrade-standins/src/callers.rs
+++ b/crates/hazelgrade-standins/src/callers.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -24,12 +24,19 @@
     /// Asked for in turn.
     pub use_cases: Vec<String>,
     pub owner: String,
+    /// The token to send with each job, as it is at the time.
+    pub token: Option<Token>,
 }
 
+/// A token that may be replaced while it is used.
+pub type Token = Arc<Mutex<String>>;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fate {
     Satisfied,
     Bounced,
+    /// Its caller may not ask for it.
+    Denied,
     WrittenOff,
     /// An answer of any other kind.
     Wrong,
@@ -71,7 +78,10 @@
 impl Callers {
     pub fn start(plan: &Plan) -> Callers {
         let record = Arc::new(Record::default());
-        let threads = (0..plan.connections).map(|place| {
+        // Ids are told apart by process, connection and count.
+        static CONNECTIONS: AtomicUsize = AtomicUsize::new(0);
+        let from = CONNECTIONS.fetch_add(plan.connections, Ordering::Relaxed);
+        let threads = (from..from + plan.connections).map(|place| {
             let (plan, record) = (plan.clone(), record.clone());
             std::thread::spawn(move || call(&plan, place, &record))
         });
@@ -105,6 +115,7 @@
         return Fate::Satisfied;
     }
     match answer["error"]["code"].as_i64() {
+        Some(-32066) if answer["error"]["data"]["denied"] == 1 => Fate::Denied,
         Some(-32066) => Fate::Bounced,
         Some(-32000) => Fate::WrittenOff,
         _ => Fate::Wrong,
@@ -164,7 +175,8 @@
 ) {
     let _ = stream.set_nodelay(true);
     let gap = Duration::from_secs_f64(plan.connections as f64 / plan.rate.max(0.001));
-    let mut next = Instant::now() + gap.mul_f64(place as f64 / plan.connections.max(1) as f64);
+    let mut next = Instant::now()
+        + gap.mul_f64((place % plan.connections.max(1)) as f64 / plan.connections.max(1) as f64);
     while !record.stop.load(Ordering::Relaxed) && !draining.load(Ordering::Relaxed) {
         std::thread::sleep(next.saturating_duration_since(Instant::now()));
         next += gap;
@@ -176,6 +188,10 @@
         let id = format!("{:04x}{:04x}{:08x}", std::process::id() & 0xffff, place, *count);
         let job = json!({"jsonrpc": "2.0", "id": *count, "method": use_case, "params": {"req": id, "ts": unix_ms(),
             "via": place, "owner": plan.owner, "need": 12.5, "level": 0.5, "body": "aGVsbG8="}});
+        let mut job = job;
+        if let Some(token) = &plan.token {
+            job["params"]["token"] = json!(*lock(token));
+        }
         lock(open).insert(*count, (id, use_case.clone(), Instant::now()));
         if stream.write_all(format!("{job}\n").as_bytes()).is_err() {
             // Nothing of it was read, or its answer is lost with the connection: told as lost by the caller.
--- a/crates/hazelgrade-standins/src/rules.rs
+++ b/crates/hazelgrade-standins/src/rules.rs
@@ -40,7 +40,9 @@
         }
     }
     verdict.run_twice = runs.iter().filter(|(_, count)| **count > 1).map(|(id, _)| id.clone()).collect();
-    let bounced = told.iter().filter(|told| told.fate == Fate::Bounced && runs.contains_key(&told.id));
+    let bounced = told
+        .iter()
+        .filter(|told| matches!(told.fate, Fate::Bounced | Fate::Denied) && runs.contains_key(&told.id));
     verdict.bounced_and_run = bounced.map(|told| told.id.clone()).collect();
     verdict
 }
@@ -61,10 +63,11 @@
         let part = |fate| self.of(fate);
         write!(
             to,
-            "{} jobs: {} satisfied, {} bounced, {} written off, {} answered otherwise, {} sent again; {} lost, {} late, {} answered twice, {} run twice",
+            "{} jobs: {} satisfied, {} bounced, {} denied, {} written off, {} answered otherwise, {} sent again; {} lost, {} late, {} answered twice, {} run twice",
             self.count,
             part(Fate::Satisfied),
             part(Fate::Bounced),
+            part(Fate::Denied),
             part(Fate::WrittenOff),
             part(Fate::Wrong),
             part(Fate::Crossed),
--- a/crates/hazelgrade-standins/src/world.rs
+++ b/crates/hazelgrade-standins/src/world.rs
@@ -1,6 +1,6 @@
 //! All that a node needs round it, but for its control service.
 
-use crate::callers::{Callers, Plan as Calling};
+use crate::callers::{Callers, Plan as Calling, Token};
 use crate::executor::{Executor, Work};
 use crate::node::Plan;
 use crate::registry::Registry;
@@ -59,6 +59,11 @@
 
 /// Four connections that ask a node for these use cases, as the first customer.
 pub fn callers(node: SocketAddr, rate: f64, use_cases: &[&str]) -> Callers {
+    callers_with(node, rate, use_cases, None)
+}
+
+/// The same, with a token.
+pub fn callers_with(node: SocketAddr, rate: f64, use_cases: &[&str], token: Option<Token>) -> Callers {
     let use_cases = use_cases.iter().map(|name| (*name).to_owned()).collect();
-    Callers::start(&Calling { node, connections: 4, rate, use_cases, owner: "c0".into() })
+    Callers::start(&Calling { node, connections: 4, rate, use_cases, owner: "c0".into(), token })
 }
--- a/crates/hazelgrade-stream/src/kept.rs
+++ b/crates/hazelgrade-stream/src/kept.rs
@@ -1,10 +1,15 @@
 //! What a node keeps across restarts about its configuration.
 
-use hazelgrade_config::{Digest, Document, Version};
+use hazelgrade_config::{Digest, Document, Kind, Version};
 use serde_json::{Value, json};
 
 /// The name that it is kept under.
-pub const NAME: &str = "configuration";
+pub fn name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Serving => "configuration",
+        Kind::Identity => "configuration.identity",
+    }
+}
 /// Versions whose deaths are remembered; the oldest goes.
 const DEATHS: usize = 16;
 
@@ -67,7 +72,7 @@
     }
 
     /// What was kept; says what is wrong with it if it can't be read, or if it no longer passes the checks.
-    pub fn decode(bytes: &[u8]) -> Result<Kept, String> {
+    pub fn decode(kind: Kind, bytes: &[u8]) -> Result<Kept, String> {
         let value: Value = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
         let version = |value: &Value| -> Result<Version, String> {
             let digest = value["digest"].as_str().and_then(|digest| digest.parse().ok());
@@ -81,7 +86,7 @@
             good => {
                 let version = version(&good["version"])?;
                 let text = good["text"].as_str().ok_or("the last good version lacks its text")?;
-                let document = Document::read(text, "the last good version")
+                let document = Document::read_as(kind, text, "the last good version")
                     .map_err(|faults| hazelgrade_config::fault::lines(&faults, 3))?;
                 if document.digest() != version.digest {
                     return Err("the last good version doesn't have its digest".into());
--- a/crates/hazelgrade-stream/src/protocol.rs
+++ b/crates/hazelgrade-stream/src/protocol.rs
@@ -4,7 +4,7 @@
 //! answer to that nonce either acknowledges the version or turns it down with a reason; the node goes on with what it had.
 
 use hazelgrade::time::Span;
-use hazelgrade_config::{Difference, Version};
+use hazelgrade_config::{Difference, Kind, Version};
 use serde_json::{Map, Value, json};
 
 /// The longest line: a document of the longest kind, each of its characters escaped, and room for the rest.
@@ -115,6 +115,8 @@
     Subscribe {
         node: String,
         program: String,
+        /// The kind of document that it follows on this connection.
+        kind: Kind,
         lineage: Option<String>,
         /// The version in effect, of which the node has the contents.
         have: Option<Version>,
@@ -257,9 +259,9 @@
 impl Said {
     pub fn encode(&self) -> String {
         match self {
-            Said::Subscribe { node, program, lineage, have, trial, known } => line(&json!({
+            Said::Subscribe { node, program, kind, lineage, have, trial, known } => line(&json!({
                 "jsonrpc": "2.0", "method": "subscribe",
-                "params": {"node": node, "program": program, "lineage": lineage,
+                "params": {"node": node, "program": program, "kind": kind.word(), "lineage": lineage,
                     "have": optional(have), "trial": trial, "known": optional(known)}
             })),
             Said::Acknowledged { nonce, version, trial, staged } => line(&json!({
@@ -308,6 +310,13 @@
             Some("subscribe") => Ok(Said::Subscribe {
                 node: word_of(params.get("node"), "node")?,
                 program: word_of(params.get("program"), "program")?,
+                kind: match params.get("kind") {
+                    None | Some(Value::Null) => Kind::Serving,
+                    some => some
+                        .and_then(Value::as_str)
+                        .and_then(Kind::of_word)
+                        .ok_or("field kind: expected a kind of document")?,
+                },
                 lineage: match params.get("lineage") {
                     None | Some(Value::Null) => None,
                     some => Some(word_of(some, "lineage")?),
--- a/crates/hazelgrade-stream/src/publisher.rs
+++ b/crates/hazelgrade-stream/src/publisher.rs
@@ -287,7 +287,7 @@
         match said {
             Said::Pong => {}
             Said::Status { call } => out.push(Action::Report(connection, call)),
-            Said::Subscribe { node, program, lineage, have, trial, known: _ } => {
+            Said::Subscribe { node, program, lineage, have, trial, .. } => {
                 // A connection costs little; a subscriber costs a document. Whoever only asks for the status waits for none.
                 if let Err(after) = self.admission.ask(now) {
                     out.push(Action::Say(connection, Published::Retry(after)));
--- a/crates/hazelgrade-stream/src/service.rs
+++ b/crates/hazelgrade-stream/src/service.rs
@@ -9,7 +9,7 @@
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
 use hazelgrade::time::Time;
-use hazelgrade_config::{Document, Version, fault};
+use hazelgrade_config::{Document, Kind, Version, fault};
 use hazelgrade_net::ending::ConnectionEnd;
 use hazelgrade_net::outbox::Outbox;
 use serde_json::{Value, json};
@@ -25,6 +25,14 @@
 /// The document in the folder, and the counter beside it.
 pub const DOCUMENT: &str = "serving.toml";
 pub const COUNTER: &str = ".published.json";
+
+/// The document of a kind, and the counter beside it.
+fn files(kind: Kind) -> (&'static str, &'static str) {
+    match kind {
+        Kind::Serving => (DOCUMENT, COUNTER),
+        Kind::Identity => ("identity.toml", ".published-identity.json"),
+    }
+}
 /// One look at a file's length and time of change, which costs microseconds.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// A subscriber's message is short; half of one for so long is none.
@@ -59,17 +67,19 @@
 pub struct Service {
     setup: Setup,
     tasks: Rc<LocalExecutor<'static>>,
-    publisher: RefCell<Publisher>,
+    publishers: BTreeMap<Kind, RefCell<Publisher>>,
+    /// What those follow that don't follow serving documents.
+    follows: RefCell<BTreeMap<Connection, Kind>>,
     peers: RefCell<BTreeMap<Connection, Peer>>,
     connections: Cell<Connection>,
     /// What is wrong with the folder's document, if anything.
-    folder: RefCell<Option<String>>,
+    folder: RefCell<BTreeMap<Kind, String>>,
     began: Instant,
 }
 
 /// The counter as it lies in the folder; none if there is none yet.
-pub fn read_counter(documents: &Path) -> Result<Option<Counter>, String> {
-    let path = documents.join(COUNTER);
+pub fn read_counter(documents: &Path, kind: Kind) -> Result<Option<Counter>, String> {
+    let path = documents.join(files(kind).1);
     let text = match std::fs::read(&path) {
         Ok(text) => text,
         Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
@@ -93,12 +103,12 @@
 }
 
 /// Replaces the counter in one step.
-fn write_counter(documents: &Path, counter: &Counter) -> io::Result<()> {
+fn write_counter(documents: &Path, kind: Kind, counter: &Counter) -> io::Result<()> {
     let last = counter.last.map(|last| json!({"number": last.number, "digest": last.digest.to_string()}));
     let mut file = tempfile::NamedTempFile::new_in(documents)?;
     file.write_all(json!({"lineage": counter.lineage, "last": last}).to_string().as_bytes())?;
     file.as_file().sync_all()?;
-    file.persist(documents.join(COUNTER))?;
+    file.persist(documents.join(files(kind).1))?;
     std::fs::File::open(documents)?.sync_all()
 }
 
@@ -116,20 +126,26 @@
 /// Serves until it is dropped; an error if it can't start.
 pub async fn serve(tasks: Rc<LocalExecutor<'static>>, setup: Setup) -> Result<(), String> {
     let listener = bind(setup.listen).map_err(|error| format!("--listen {}: {error}", setup.listen))?;
-    let kept = read_counter(&setup.documents)?;
+    let kept = read_counter(&setup.documents, Kind::Serving)?;
     let lineage = setup.lineage.clone().or_else(|| kept.as_ref().map(|kept| kept.lineage.clone()));
     let lineage = lineage.unwrap_or_else(made_up_lineage);
-    // Numbers of another lineage say nothing about this one.
-    let last = kept.filter(|kept| kept.lineage == lineage).and_then(|kept| kept.last);
-    let counter = Counter { lineage, last };
-    write_counter(&setup.documents, &counter)
-        .map_err(|error| format!("--documents {}: {error}", setup.documents.display()))?;
-    tracing::info!(listen = %setup.listen, lineage = counter.lineage, ?last, "control service");
-    let admission = Admission::new(setup.admitted.0, setup.admitted.1);
+    let mut publishers = BTreeMap::new();
+    for kind in Kind::ALL {
+        // Numbers of another lineage say nothing about this one.
+        let kept = read_counter(&setup.documents, kind)?.filter(|kept| kept.lineage == lineage);
+        let last = kept.and_then(|kept| kept.last);
+        let counter = Counter { lineage: lineage.clone(), last };
+        write_counter(&setup.documents, kind, &counter)
+            .map_err(|error| format!("--documents {}: {error}", setup.documents.display()))?;
+        tracing::info!(listen = %setup.listen, lineage, kind = kind.word(), ?last, "control service");
+        let admission = Admission::new(setup.admitted.0, setup.admitted.1);
+        publishers.insert(kind, RefCell::new(Publisher::new(counter, admission)));
+    }
     let service = Rc::new(Service {
         setup,
         tasks: tasks.clone(),
-        publisher: RefCell::new(Publisher::new(counter, admission)),
+        publishers,
+        follows: RefCell::default(),
         peers: RefCell::default(),
         connections: Cell::new(0),
         folder: RefCell::default(),
@@ -171,14 +187,15 @@
         let reader = self.tasks.spawn(async move {
             let end = service.read(connection, &stream).await;
             tracing::debug!(connection, ?end, "a subscriber's connection ended");
-            service.tell(Event::Gone(connection));
+            service.tell(service.kind(connection), Event::Gone(connection));
+            service.follows.borrow_mut().remove(&connection);
             // This task is the one that is dropped with the entry, as its last step.
             if let Some(peer) = service.peers.borrow_mut().remove(&connection) {
                 peer.reader.detach();
             }
         });
         self.peers.borrow_mut().insert(connection, Peer { outbox, reader, writer });
-        self.tell(Event::Came(connection));
+        self.tell(Kind::Serving, Event::Came(connection));
     }
 
     async fn read(&self, connection: Connection, stream: &Async<TcpStream>) -> ConnectionEnd {
@@ -189,7 +206,7 @@
                 return end;
             }
             match Said::decode(&line) {
-                Ok(said) => self.tell(Event::Heard(connection, said)),
+                Ok(said) => self.heard(connection, said),
                 Err(why) => {
                     tracing::warn!(why, "a subscriber sent what can't be read");
                     return ConnectionEnd::Unreadable;
@@ -198,22 +215,39 @@
         }
     }
 
-    fn tell(&self, event: Event) {
+    fn kind(&self, connection: Connection) -> Kind {
+        self.follows.borrow().get(&connection).copied().unwrap_or_default()
+    }
+
+    fn heard(&self, connection: Connection, said: Said) {
+        // Until it says what it follows, a connection is with the serving documents.
+        if let Said::Subscribe { kind, .. } = &said
+            && *kind != self.kind(connection)
+        {
+            self.tell(self.kind(connection), Event::Gone(connection));
+            self.follows.borrow_mut().insert(connection, *kind);
+            self.tell(*kind, Event::Came(connection));
+        }
+        self.tell(self.kind(connection), Event::Heard(connection, said));
+    }
+
+    fn tell(&self, kind: Kind, event: Event) {
+        let Some(publisher) = self.publishers.get(&kind) else { return };
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             let mut out = Vec::new();
-            self.publisher.borrow_mut().take(self.now(), event, &mut out);
-            out.into_iter().for_each(|action| self.carry_out(action, &mut events));
+            publisher.borrow_mut().take(self.now(), event, &mut out);
+            out.into_iter().for_each(|action| self.carry_out(kind, action, &mut events));
         }
     }
 
-    fn carry_out(&self, action: Action, events: &mut VecDeque<Event>) {
+    fn carry_out(&self, kind: Kind, action: Action, events: &mut VecDeque<Event>) {
         match action {
             Action::Say(connection, published) => self.put(connection, &published.encode()),
             Action::Close(connection) => self.close(connection),
             Action::Count(counter) => {
                 // Small and seldom: publishing waits for the disk anyway.
-                let done = write_counter(&self.setup.documents, &counter);
+                let done = write_counter(&self.setup.documents, kind, &counter);
                 events.push_back(Event::Counted(done.map_err(|error| error.to_string())));
             }
             Action::Report(connection, call) => {
@@ -243,48 +277,64 @@
             drop((reader, writer));
         };
         self.tasks.spawn(closing).detach();
-        self.publisher.borrow_mut().take(self.now(), Event::Gone(connection), &mut Vec::new());
+        if let Some(publisher) = self.publishers.get(&self.kind(connection)) {
+            publisher.borrow_mut().take(self.now(), Event::Gone(connection), &mut Vec::new());
+        }
+        self.follows.borrow_mut().remove(&connection);
     }
 
     /// Looks at the folder now and then, and has pings sent.
     async fn watch(&self) {
-        let (path, mut before) = (self.setup.documents.join(DOCUMENT), None);
+        let mut before = BTreeMap::new();
         loop {
-            let seen = std::fs::metadata(&path).ok().map(|about| (about.modified().ok(), about.len()));
-            if seen != before || seen.is_none() {
-                before = seen;
-                self.look(&path);
+            for kind in Kind::ALL {
+                let path = self.setup.documents.join(files(kind).0);
+                let seen = std::fs::metadata(&path).ok().map(|about| (about.modified().ok(), about.len()));
+                // Identities may be of no concern here; without a serving document there is nothing to publish.
+                let missing = seen.is_none() && kind == Kind::Serving;
+                if before.insert(kind, seen) != Some(seen) && (seen.is_some() || missing) {
+                    self.look(kind, &path);
+                }
+                self.tell(kind, Event::Woke);
             }
-            self.tell(Event::Woke);
             Timer::after(LOOK_EVERY).await;
         }
     }
 
-    fn look(&self, path: &Path) {
+    fn look(&self, kind: Kind, path: &Path) {
         let shown = path.display().to_string();
         let read = std::fs::read_to_string(path).map_err(|error| format!("{shown}: {error}"));
         let document = read.and_then(|text| {
-            Document::read(&text, &shown).map_err(|faults| fault::lines(&faults, FAULTS_NAMED))
+            Document::read_as(kind, &text, &shown).map_err(|faults| fault::lines(&faults, FAULTS_NAMED))
         });
-        let fault = document.as_ref().err().cloned();
-        if let Some(fault) = &fault
-            && self.folder.borrow().as_ref() != Some(fault)
-        {
-            tracing::error!("not published: {fault}");
-        }
-        self.folder.replace(fault);
-        if let Ok(document) = document {
-            self.tell(Event::Changed(document));
+        match document {
+            Ok(document) => {
+                self.folder.borrow_mut().remove(&kind);
+                self.tell(kind, Event::Changed(document));
+            }
+            Err(fault) => {
+                if self.folder.borrow_mut().insert(kind, fault.clone()).as_ref() != Some(&fault) {
+                    tracing::error!("not published: {fault}");
+                }
+            }
         }
     }
 
     fn report(&self) -> Value {
-        let publisher = self.publisher.borrow();
+        let mut report = self.report_kind(Kind::Serving);
+        report[Kind::Identity.word()] = self.report_kind(Kind::Identity);
+        report
+    }
+
+    fn report_kind(&self, kind: Kind) -> Value {
+        let Some(publisher) = self.publishers.get(&kind).map(|publisher| publisher.borrow()) else {
+            return Value::Null;
+        };
         let nodes: Vec<Value> = publisher.nodes().map(report_node).collect();
         json!({
             "lineage": publisher.lineage(),
             "version": publisher.current().map(|version| version.to_string()),
-            "folder": *self.folder.borrow(),
+            "folder": self.folder.borrow().get(&kind),
             "nodes": nodes,
         })
     }
--- a/crates/hazelgrade-stream/src/subscriber.rs
+++ b/crates/hazelgrade-stream/src/subscriber.rs
@@ -17,7 +17,7 @@
 use crate::trial::{SAMPLES, Sample, Service, Trial, Verdict};
 use hazelgrade::chance::Chance;
 use hazelgrade::time::{Span, Time};
-use hazelgrade_config::{Document, Version, fault, operator};
+use hazelgrade_config::{Document, Kind, Version, fault, operator};
 use std::sync::Arc;
 
 /// Nothing heard for so long, with a ping due every third of it: the connection is dead.
@@ -118,6 +118,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Subscriber {
+    kind: Kind,
     node: String,
     program: String,
     /// Named by the operator; else the first that is heard of.
@@ -150,6 +151,7 @@
 
 /// What a subscriber starts from.
 pub struct Start {
+    pub kind: Kind,
     pub node: String,
     pub program: String,
     pub lineage: Option<String>,
@@ -166,7 +168,7 @@
 impl Subscriber {
     /// A node that has just started. What it serves by is the first action.
     pub fn start(now: Time, start: Start, out: &mut Vec<Action>) -> Subscriber {
-        let Start { node, program, lineage, rules, controls, chance, backoff, mut kept, file } = start;
+        let Start { kind, node, program, lineage, rules, controls, chance, backoff, mut kept, file } = start;
         if lineage.is_some() && lineage != kept.lineage {
             // Numbers of another lineage say nothing about those to come.
             (kept.lineage, kept.known, kept.failed) = (lineage.clone(), None, None);
@@ -175,6 +177,7 @@
         let good = kept.good.as_ref().map(|good| (good.version, Arc::new(good.document.clone())));
         let died = kept.trial.take();
         let mut subscriber = Subscriber {
+            kind,
             node,
             program,
             lineage,
@@ -272,6 +275,7 @@
         out.push(Action::Say(Said::Subscribe {
             node: self.node.clone(),
             program: self.program.clone(),
+            kind: self.kind,
             lineage: self.own_lineage(),
             have: self.has().map(|(version, _)| version),
             trial: self.attempt.is_some(),
@@ -399,7 +403,7 @@
         let malformed = |faults: Vec<fault::Fault>| Refusal::Malformed(fault::lines(&faults, FAULTS_NAMED));
         let document = match &offer.content {
             Content::Whole(text) => {
-                let document = Document::read(text, &name).map_err(malformed)?;
+                let document = Document::read_as(self.kind, text, &name).map_err(malformed)?;
                 if document.digest() != version.digest {
                     return Err(Refusal::WrongDigest);
                 }
@@ -411,7 +415,7 @@
                 if fields.digest() != version.digest {
                     return Err(Refusal::WrongDigest);
                 }
-                Document::of_fields(fields, &name).map_err(malformed)?
+                Document::of_fields(self.kind, fields, &name).map_err(malformed)?
             }
         };
         Ok(Some(document))
--- a/crates/hazelgrade-stream/tests/common/mod.rs
+++ b/crates/hazelgrade-stream/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use hazelgrade::chance::Chance;
 use hazelgrade::time::{Span, Time};
 use hazelgrade_config::operator::Trial;
-use hazelgrade_config::{Document, Version};
+use hazelgrade_config::{Document, Kind, Version};
 use hazelgrade_stream::backoff::Backoff;
 use hazelgrade_stream::kept::Kept;
 use hazelgrade_stream::protocol::{Content, Offer, Published};
@@ -46,6 +46,7 @@
 pub fn start(now: Time, kept: Kept, file: Option<Document>) -> (Subscriber, Vec<Action>) {
     let mut out = Vec::new();
     let start = Start {
+        kind: Kind::Serving,
         node: "n".into(),
         program: "p".into(),
         lineage: None,
--- a/crates/hazelgrade-stream/tests/deaths.rs
+++ b/crates/hazelgrade-stream/tests/deaths.rs
@@ -5,7 +5,7 @@
 use common::*;
 use hazelgrade::chance::Chance;
 use hazelgrade::time::{Span, Time};
-use hazelgrade_config::Version;
+use hazelgrade_config::{Kind, Version};
 use hazelgrade_store::Store;
 use hazelgrade_store::disk::{Disk, Plan};
 use hazelgrade_stream::kept::{self, Kept};
@@ -32,9 +32,10 @@
     fn start(disk: &Disk) -> Option<World> {
         let storage = disk.clone();
         let mut store = Store::open_on(move || storage.clone(), "n").ok()?;
-        let kept = store.get(kept::NAME).ok()?;
-        let kept =
-            kept.map_or_else(Kept::default, |kept| Kept::decode(&kept).expect("what is kept can be read"));
+        let kept = store.get(kept::name(Kind::Serving)).ok()?;
+        let kept = kept.map_or_else(Kept::default, |kept| {
+            Kept::decode(Kind::Serving, &kept).expect("what is kept can be read")
+        });
         let now = at(1_000_000.0);
         let (node, first) = start(now, kept, Some(document(0)));
         let mut world = World { node, store, now, run: Run::default() };
@@ -52,7 +53,7 @@
         for action in actions {
             match action {
                 Action::Keep { ticket, kept } => {
-                    let done = self.store.keep(&[(kept::NAME, Some(&kept.encode()))]);
+                    let done = self.store.keep(&[(kept::name(Kind::Serving), Some(&kept.encode()))]);
                     if disk.is_dead() {
                         return None;
                     }
--- a/crates/hazelgrade-stream/tests/histories.rs
+++ b/crates/hazelgrade-stream/tests/histories.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use hazelgrade::time::{Span, Time};
-use hazelgrade_config::Version;
+use hazelgrade_config::{Kind, Version};
 use hazelgrade_stream::kept::{Held, Kept};
 use hazelgrade_stream::protocol::{Content, Offer, Published, Refusal, Said};
 use hazelgrade_stream::subscriber::{Action, Event, Serving, Subscriber};
@@ -148,7 +148,8 @@
                     let done =
                         if std::mem::take(&mut self.disk_fails) { Err("full".to_owned()) } else { Ok(()) };
                     if done.is_ok() {
-                        self.plain.disk = Kept::decode(&kept.encode()).expect("it reads what it wrote");
+                        self.plain.disk =
+                            Kept::decode(Kind::Serving, &kept.encode()).expect("it reads what it wrote");
                         assert_eq!(self.plain.disk, kept);
                     }
                     self.tell(Event::Stored { ticket, done });
--- a/crates/hazelgrade-stream/tests/publishing.rs
+++ b/crates/hazelgrade-stream/tests/publishing.rs
@@ -5,7 +5,7 @@
 use common::*;
 use hazelgrade::chance::Chance;
 use hazelgrade::time::{Span, Time};
-use hazelgrade_config::{Document, Version};
+use hazelgrade_config::{Document, Kind, Version};
 use hazelgrade_stream::admission::Admission;
 use hazelgrade_stream::backoff::Backoff;
 use hazelgrade_stream::protocol::{Content, Offer, Published, Refusal, Said};
@@ -51,7 +51,15 @@
     fn subscribe(&mut self, connection: u64, have: Option<Version>) {
         self.tell(Event::Came(connection));
         let (node, program) = (format!("n{connection}"), "p".to_owned());
-        let subscribe = Said::Subscribe { node, program, lineage: None, have, trial: false, known: have };
+        let subscribe = Said::Subscribe {
+            node,
+            program,
+            kind: Kind::Serving,
+            lineage: None,
+            have,
+            trial: false,
+            known: have,
+        };
         self.tell(Event::Heard(connection, subscribe));
     }
 
