TLS on the client front, callers named by certificates, authorities and revocation lists read again

Need: callers that hold no tokens are named by certificates, and these have to be revoked and their authorities replaced while nodes serve.

Change: rustls on the listener's task, handshakes bounded in number (128, the slowest makes room), time (2 s) and bytes; certificates name callers by URI or DNS name; revoked serials bear on connections that stand and on resumed sessions; files are read again on SIGHUP. Connections are two halves whatever carries them (hazelgrade-net/src/wire.rs). Off without [tls].

Result: tests on loopback: a revoked certificate is served nothing on old, new or resumed connections, 300 half handshakes keep nobody out, an authority is replaced without a connection dropped.

--- a/crates/hazelgrade-config/src/operator.rs
+++ b/crates/hazelgrade-config/src/operator.rs
@@ -17,6 +17,19 @@
     pub stream: Option<Streamed>,
     /// Who callers are and what they may ask for; without it nobody is asked.
     pub identity: Option<Identified>,
+    /// TLS on the client front; without it connections are plain.
+    pub tls: Option<Encrypted>,
+}
+
+/// The files of TLS, in PEM; read again on SIGHUP.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Encrypted {
+    pub certificate: PathBuf,
+    pub key: PathBuf,
+    /// Whose certificates clients may show; without it they are not asked for any.
+    pub clients: Option<PathBuf>,
+    /// A list of revoked ones of these.
+    pub revoked: Option<PathBuf>,
 }
 
 /// Where keys, callers and rights come from.
@@ -132,6 +145,32 @@
 }
 
 impl Parts {
+    fn tls(&mut self) -> Option<Encrypted> {
+        if !self.found.keys().any(|path| path.starts_with("tls/")) {
+            return None;
+        }
+        self.found.remove("tls/");
+        let mut needed = |field: &str| {
+            let word = self.word(field);
+            if word.is_none() {
+                self.reading.fault(0, field, "is missing");
+            }
+            PathBuf::from(word.unwrap_or_default())
+        };
+        let (certificate, key) = (needed("tls/certificate"), needed("tls/key"));
+        let clients = self.word("tls/clients").map(PathBuf::from);
+        let at = self.found.get("tls/revoked").map_or(0, |(_, at)| *at);
+        let revoked = self.word("tls/revoked").map(PathBuf::from);
+        if revoked.is_some() && clients.is_none() {
+            self.reading.fault(
+                at,
+                "tls/revoked",
+                "expected tls.clients too: it says whose certificates are meant",
+            );
+        }
+        Some(Encrypted { certificate, key, clients, revoked })
+    }
+
     fn identity(&mut self, stream: bool) -> Option<Identified> {
         if !self.found.keys().any(|path| path.starts_with("identity/")) {
             return None;
@@ -190,11 +229,12 @@
             stream = Some(Streamed { control, store, document, lineage, trial });
         }
         let identity = parts.identity(stream.is_some());
+        let tls = parts.tls();
         for (path, (_, at)) in std::mem::take(&mut parts.found) {
             parts.reading.fault(at, &path, "there is no such field");
         }
         match parts.reading.faults {
-            faults if faults.is_empty() => Ok(Operator { stream, identity }),
+            faults if faults.is_empty() => Ok(Operator { stream, identity, tls }),
             faults => Err(faults),
         }
     }
--- a/crates/hazelgrade-identity/src/lib.rs
+++ b/crates/hazelgrade-identity/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod audit;
 pub mod book;
+pub mod certificate;
 pub mod desk;
 pub mod doubt;
+pub mod handshakes;
 pub mod issue;
 pub mod set;
 pub mod token;
--- a/crates/hazelgrade-net/src/lib.rs
+++ b/crates/hazelgrade-net/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod ending;
 pub mod lines;
 pub mod outbox;
+pub mod wire;
--- a/crates/hazelgrade-net/src/outbox.rs
+++ b/crates/hazelgrade-net/src/outbox.rs
@@ -3,6 +3,7 @@
 
 use crate::bell::Bell;
 use crate::ending::ConnectionEnd;
+use crate::wire::Shared;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use futures_lite::io::{AsyncWrite, AsyncWriteExt};
@@ -70,7 +71,16 @@
         tasks: &LocalExecutor<'static>,
         stream: Rc<Async<TcpStream>>,
     ) -> Task<ConnectionEnd> {
-        tasks.spawn(async move { self.write_to(&mut &*stream).await })
+        self.writer_to(tasks, Shared(stream))
+    }
+
+    /// The same for whatever takes bytes.
+    pub fn writer_to(
+        self: Rc<Self>,
+        tasks: &LocalExecutor<'static>,
+        mut sink: impl AsyncWrite + Unpin + 'static,
+    ) -> Task<ConnectionEnd> {
+        tasks.spawn(async move { self.write_to(&mut sink).await })
     }
 
     /// Writes what is put in, until the connection ends.
@@ -80,7 +90,11 @@
             while self.unwritten() > 0 && !self.overrun.get() {
                 let (bytes, count) = (self.waiting.take(), self.unwritten());
                 self.writing.set(Some(Instant::now()));
-                if let Err(error) = sink.write_all(&bytes).await {
+                let written = async {
+                    sink.write_all(&bytes).await?;
+                    sink.flush().await
+                };
+                if let Err(error) = written.await {
                     return ConnectionEnd::of(&error);
                 }
                 self.writing.set(None);
--- a/crates/hazelgrade-server/src/program/mod.rs
+++ b/crates/hazelgrade-server/src/program/mod.rs
@@ -10,3 +10,4 @@
 pub mod reload;
 pub mod serve;
 pub mod streaming;
+pub mod tls;
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -4,7 +4,7 @@
 use super::logging::Level;
 use super::reload::Reload;
 use super::streaming::{Kit, Surroundings};
-use super::{drain, identity};
+use super::{drain, identity, tls};
 use crate::protocol::registry;
 use crate::routing::callers::Callers;
 use crate::routing::calls::Calls;
@@ -19,6 +19,7 @@
 use crate::transport::executor::Link;
 use crate::transport::listener;
 use crate::transport::registry::Registry;
+use crate::transport::tls::Tls;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -49,7 +50,7 @@
     operator: Operator,
     log: (Level, LevelFilter),
 ) -> Result<bool, String> {
-    let Operator { stream: streamed, identity: identified } = operator;
+    let Operator { stream: streamed, identity: identified, tls: encrypted } = operator;
     let kit = streamed.as_ref().map(|streamed| Kit::open(streamed, &deployment.name)).transpose()?;
     if let Some(kit) = &kit {
         let (sockets, memory_mb) = kit.limits();
@@ -95,7 +96,11 @@
         clients: Clients::new(deployment.connections()),
         tasks: tasks.clone(),
         bad_lines: Cell::new(0),
+        tls: Rc::new(Tls::default()),
     });
+    if let Some(encrypted) = &encrypted {
+        tls::load(encrypted, &front.tls, &parts)?;
+    }
     let start = |task: BoxedLocal<()>| tasks.spawn(task).detach();
     let leaving = Rc::new(Cell::new(false));
     let beats =
@@ -160,6 +165,14 @@
             match signal {
                 Ok(Signal::Hup) => {
                     reload.reload();
+                    let loaded = encrypted.as_ref().map(|encrypted| tls::load(encrypted, &front.tls, &parts));
+                    match loaded {
+                        Some(Ok(())) => tracing::info!("certificates read again"),
+                        Some(Err(fault)) => {
+                            tracing::error!(fault, "the new certificates are wrong and change nothing")
+                        }
+                        None => {}
+                    }
                     if let Some(path) = &*identity_file.borrow() {
                         identity::reload(path, &parts);
                     }
@@ -228,6 +241,7 @@
             unknown = parts.hand.unknown.get(),
             bad_lines = front.bad_lines.get(),
             turned_out = front.clients.turned_out.get(),
+            no_handshake = front.tls.ended(),
             "so far"
         );
     }
--- a/crates/hazelgrade-server/src/routing/callers.rs
+++ b/crates/hazelgrade-server/src/routing/callers.rs
@@ -6,7 +6,7 @@
 use hazelgrade_identity::{Identity, Refused};
 use hazelgrade_site::Site;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 
 /// A connection's caller.
@@ -20,6 +20,8 @@
 pub struct Callers {
     on: Cell<bool>,
     desk: RefCell<Option<Desk>>,
+    /// Certificates that a list of the operators' names as revoked.
+    revoked: RefCell<BTreeSet<String>>,
 }
 
 impl Callers {
@@ -53,6 +55,11 @@
         self.desk.replace(None);
     }
 
+    /// These certificates are revoked, on connections that stand too.
+    pub fn revoke(&self, serials: BTreeSet<String>) {
+        self.revoked.replace(serials);
+    }
+
     /// The site's names have other places.
     pub fn compile(&self, site: &Site) {
         if let Some(desk) = &mut *self.desk.borrow_mut() {
@@ -88,7 +95,12 @@
         let customer = asked.for_customer.then_some(asked.job.customer);
         let with_job = asked.token.take().map(|token| desk.token(now, &token, caller.from)).transpose();
         let known = caller.known.borrow();
+        let listed =
+            known.certificate.as_ref().is_some_and(|shown| self.revoked.borrow().contains(&shown.serial));
         let may = with_job.and_then(|token| {
+            if listed {
+                return Err(Refused::Revoked);
+            }
             let own = token.map(|token| Known { token: Some(token), certificate: None });
             desk.may(now, own.as_ref().unwrap_or(&known), asked.job.use_case, customer, caller.from)
         });
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -5,11 +5,13 @@
 use super::job::{self, Parts};
 use crate::protocol::jsonrpc::{self, Answer, Asked, Incoming, Wrong};
 use crate::transport::clients::{Client, Clients};
+use crate::transport::tls::Tls;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use hazelgrade::desk::{JobId, Repeats};
 use hazelgrade::time::Span;
 use hazelgrade_identity::Refused;
+use hazelgrade_identity::desk::Known;
 use hazelgrade_net::ending::ConnectionEnd;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, TcpStream};
@@ -23,6 +25,7 @@
     pub clients: Clients<JobId>,
     pub tasks: Rc<LocalExecutor<'static>>,
     pub bad_lines: Cell<u64>,
+    pub tls: Rc<Tls>,
 }
 
 impl Front {
@@ -34,14 +37,21 @@
     /// Serves one connection of a client until it ends; callers whose connection is gone are gone.
     async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
         let from = stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
-        let caller = Caller { from, known: RefCell::default() };
+        let (wire, certificate) = match self.tls.accept(stream, self.parts.rounds.clock.now()).await {
+            Ok(accepted) => accepted,
+            Err(end) => {
+                tracing::debug!(?end, "no handshake");
+                return;
+            }
+        };
+        let caller = Caller { from, known: RefCell::new(Known { token: None, certificate }) };
         let on_line = async |client: &Rc<Client<JobId>>, line: &[u8]| self.take(client, &caller, line).await;
         let last_words = |end| match end {
             ConnectionEnd::TooLong => Some(jsonrpc::last_words(true)),
             ConnectionEnd::Misused => Some(jsonrpc::last_words(false)),
             _ => None,
         };
-        let serving = self.clients.serve(&self.tasks, stream, jsonrpc::LONGEST_LINE, on_line, last_words);
+        let serving = self.clients.serve(&self.tasks, wire, jsonrpc::LONGEST_LINE, on_line, last_words);
         let (end, open) = serving.await;
         if !open.is_empty() {
             tracing::debug!(?end, jobs = open.len(), "a connection ended with jobs open");
--- a/crates/hazelgrade-server/src/transport/clients.rs
+++ b/crates/hazelgrade-server/src/transport/clients.rs
@@ -5,11 +5,12 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
-use futures_lite::io::{AsyncBufReadExt, BufReader};
+use futures_lite::io::{AsyncBufReadExt, AsyncRead, BufReader};
 use hazelgrade_net::bell::Bell;
 use hazelgrade_net::ending::ConnectionEnd;
 use hazelgrade_net::lines::read_line;
 use hazelgrade_net::outbox::Outbox;
+use hazelgrade_net::wire::Wire;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpStream};
@@ -149,12 +150,13 @@
 
     async fn read(
         &self,
-        stream: &Async<TcpStream>,
+        source: impl AsyncRead + Unpin,
+        socket: &Async<TcpStream>,
         longest: usize,
         on_line: impl AsyncFn(&[u8]),
         last_words: impl Fn(ConnectionEnd) -> Option<String>,
     ) -> ConnectionEnd {
-        let (mut source, mut line) = (BufReader::with_capacity(4096, stream), Vec::new());
+        let (mut source, mut line) = (BufReader::with_capacity(4096, source), Vec::new());
         let end = loop {
             if self.outbox.unwritten() > MOST_OPEN + SLACK_MESSAGES {
                 self.outbox.emptied().await;
@@ -193,7 +195,7 @@
         }
         self.outbox.emptied().await;
         if broke_rules {
-            let _ = stream.get_ref().shutdown(Shutdown::Write);
+            let _ = socket.get_ref().shutdown(Shutdown::Write);
             let rest = async {
                 let mut left = LINGER_BYTES;
                 while matches!(source.fill_buf().await, Ok(bytes) if !bytes.is_empty()) && left > 0 {
@@ -279,13 +281,13 @@
     pub async fn serve(
         &self,
         tasks: &LocalExecutor<'static>,
-        stream: Async<TcpStream>,
+        wire: Wire,
         longest: usize,
         on_line: impl AsyncFn(&Rc<Client<T>>, &[u8]),
         last_words: impl Fn(ConnectionEnd) -> Option<String>,
     ) -> (ConnectionEnd, Vec<T>) {
-        let _ = stream.get_ref().set_nodelay(true);
-        let stream = Rc::new(stream);
+        let Wire { source, sink, socket } = wire;
+        let _ = socket.get_ref().set_nodelay(true);
         let number = self.numbers.get() + 1;
         self.numbers.set(number);
         let client = Rc::new(Client {
@@ -316,9 +318,14 @@
                 }
             }
         };
-        let read =
-            client.read(&stream, longest, async |line: &[u8]| on_line(&client, line).await, &last_words);
-        let end = or(or(closed, read), client.outbox.clone().writer(tasks, stream.clone())).await;
+        let read = client.read(
+            source,
+            &socket,
+            longest,
+            async |line: &[u8]| on_line(&client, line).await,
+            &last_words,
+        );
+        let end = or(or(closed, read), client.outbox.clone().writer_to(tasks, sink)).await;
         if matches!(end, ConnectionEnd::Slow | ConnectionEnd::TooLong | ConnectionEnd::Misused) {
             self.turned_out.set(self.turned_out.get() + 1);
         }
--- a/crates/hazelgrade-server/src/transport/mod.rs
+++ b/crates/hazelgrade-server/src/transport/mod.rs
@@ -5,3 +5,4 @@
 pub mod executor;
 pub mod listener;
 pub mod registry;
+pub mod tls;
--- a/crates/hazelgrade-server/tests/identity/main.rs
+++ b/crates/hazelgrade-server/tests/identity/main.rs
@@ -1,6 +1,8 @@
 //! Who asks, and whether it may, through real sockets: the operators' tool makes keys and tokens, a node goes by a file or by
 //! what a control service streams.
 
+mod tls;
+
 use hazelgrade_config::Document;
 use hazelgrade_standins::callers::{Fate, Token, Told};
 use hazelgrade_standins::documents::{BOOK, READ, document};
--- /dev/null
+++ b/crates/hazelgrade-server/tests/identity/tls.rs
@@ -0,0 +1,272 @@
+//! TLS on the client front: callers named by certificates, revoked ones, authorities that change, half handshakes.
+
+use super::*;
+use rcgen::{
+    BasicConstraints, CertificateParams, CertificateRevocationListParams, IsCa, Issuer, KeyIdMethod, KeyPair,
+    KeyUsagePurpose, RevokedCertParams, SanType, SerialNumber, date_time_ymd,
+};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::{ClientConfig, ClientConnection, HandshakeKind, RootCertStore, StreamOwned};
+
+struct Authority {
+    params: CertificateParams,
+    key: KeyPair,
+    pem: String,
+    der: CertificateDer<'static>,
+}
+
+impl Authority {
+    fn new() -> Authority {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(vec![]).expect("params");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+        let certificate = params.self_signed(&key).expect("a certificate");
+        Authority { pem: certificate.pem(), der: certificate.der().clone(), params, key }
+    }
+
+    fn issuer(&self) -> Issuer<'_, &KeyPair> {
+        Issuer::from_params(&self.params, &self.key)
+    }
+
+    /// A certificate and its key, in PEM and as they are.
+    fn sign(
+        &self,
+        uri: Option<&str>,
+        serial: u64,
+    ) -> (String, String, CertificateDer<'static>, PrivateKeyDer<'static>) {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(vec!["node.test".to_owned()]).expect("params");
+        if let Some(uri) = uri {
+            params.subject_alt_names = vec![SanType::URI(uri.try_into().expect("a name"))];
+        }
+        params.serial_number = Some(SerialNumber::from(serial));
+        let certificate = params.signed_by(&key, &self.issuer()).expect("a certificate");
+        let private = PrivateKeyDer::try_from(key.serialize_der()).expect("a key");
+        (certificate.pem(), key.serialize_pem(), certificate.der().clone(), private)
+    }
+
+    fn revoked(&self, serials: &[u64], next_year: i32) -> String {
+        let revoked = serials.iter().map(|serial| RevokedCertParams {
+            serial_number: SerialNumber::from(*serial),
+            revocation_time: date_time_ymd(2026, 1, 1),
+            reason_code: None,
+            invalidity_date: None,
+        });
+        let list = CertificateRevocationListParams {
+            this_update: date_time_ymd(2025, 1, 1),
+            next_update: date_time_ymd(next_year, 1, 1),
+            crl_number: SerialNumber::from(1u64),
+            issuing_distribution_point: None,
+            revoked_certs: revoked.collect(),
+            key_identifier_method: KeyIdMethod::Sha256,
+        };
+        list.signed_by(&self.issuer()).expect("a list").pem().expect("in PEM")
+    }
+}
+
+const FRONT: &str = "spiffe://agenda/front";
+
+struct Files {
+    folder: PathBuf,
+    server: Authority,
+    clients: Authority,
+}
+
+impl Files {
+    fn new(setting: &Setting) -> Files {
+        let files = Files {
+            folder: setting.world.folder.path().to_owned(),
+            server: Authority::new(),
+            clients: Authority::new(),
+        };
+        let (certificate, key, _, _) = files.server.sign(None, 1);
+        files.write("node.pem", &certificate);
+        files.write("node.key", &key);
+        files.write("clients.pem", &files.clients.pem);
+        files.write("revoked.pem", &files.clients.revoked(&[], 2040));
+        setting.change(|text| {
+            text.replace("[caller.front]\n", &format!("[caller.front]\ncertificates = [{FRONT:?}]\n"))
+        });
+        files
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.folder.join(name), text).expect("a file");
+    }
+
+    fn operator(&self, setting: &Setting) -> String {
+        let at = |name: &str| self.folder.join(name);
+        format!(
+            "[identity]\ndocument = {:?}\n[tls]\ncertificate = {:?}\nkey = {:?}\nclients = {:?}\nrevoked = {:?}\n",
+            setting.set(),
+            at("node.pem"),
+            at("node.key"),
+            at("clients.pem"),
+            at("revoked.pem")
+        )
+    }
+
+    /// Settings of a client, with a certificate of this authority, if any.
+    fn client(&self, shows: Option<(&Authority, u64)>) -> Arc<ClientConfig> {
+        let mut roots = RootCertStore::empty();
+        roots.add(self.server.der.clone()).expect("a root");
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let builder = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .expect("versions");
+        let builder = builder.with_root_certificates(roots);
+        let config = match shows {
+            Some((authority, serial)) => {
+                let (_, _, certificate, key) = authority.sign(Some(FRONT), serial);
+                builder.with_client_auth_cert(vec![certificate], key).expect("a certificate")
+            }
+            None => builder.with_no_client_auth(),
+        };
+        Arc::new(config)
+    }
+}
+
+struct Secure(BufReader<StreamOwned<ClientConnection, TcpStream>>);
+
+impl Secure {
+    fn of(node: &Node, config: &Arc<ClientConfig>) -> Option<Secure> {
+        let stream = TcpStream::connect(node.plan.listen).ok()?;
+        stream.set_read_timeout(Some(SOON)).ok()?;
+        let name = ServerName::try_from("node.test").expect("a name");
+        let client = ClientConnection::new(config.clone(), name).expect("a client");
+        let mut secure = Secure(BufReader::new(StreamOwned::new(client, stream)));
+        // Until the node has answered, its refusal of a certificate may still come.
+        secure.ask(&json!({"jsonrpc": "2.0", "id": 1, "method": "ping"}))?;
+        Some(secure)
+    }
+
+    fn ask(&mut self, message: &Value) -> Option<Value> {
+        self.0.get_mut().write_all(format!("{message}\n").as_bytes()).ok()?;
+        let mut line = String::new();
+        self.0.read_line(&mut line).ok()?;
+        serde_json::from_str(&line).ok()
+    }
+
+    fn job(&mut self, call: u64, use_case: &str, token: Option<&str>) -> Value {
+        let answer = self.ask(&json!({"jsonrpc": "2.0", "id": call, "method": use_case, "params": {
+            "req": format!("t{call:04}{:08x}", unix_ms() as u32), "ts": unix_ms(), "via": 1,
+            "need": 12.5, "level": 0.5, "body": "aGVsbG8=", "token": token}}));
+        answer.expect("an answer")
+    }
+
+    fn resumed(&self) -> bool {
+        self.0.get_ref().conn.handshake_kind() == Some(HandshakeKind::Resumed)
+    }
+}
+
+/// A node under TLS can't be asked for its health by plain means.
+fn started(setting: &Setting, files: &Files) -> Node {
+    let program = Path::new(env!("CARGO_BIN_EXE_hazelgrade"));
+    let stream = format!("lineage = \"test\"\n[stream.trial]\nspan_ms = 100\n{}", files.operator(setting));
+    let plan = setting.world.plan("n1", program, &[], setting.control, &stream);
+    let node = Plan { log: "error".into(), ..plan }.start().expect("it starts");
+    let ready = || {
+        let up = Secure::of(&node, &files.client(None))
+            .and_then(|mut secure| secure.ask(&json!({"jsonrpc": "2.0", "id": 2, "method": "ping"})));
+        up.is_some_and(|up| up["result"]["up"] == true)
+    };
+    assert!(comes_true(SOON, ready), "it is ready in time");
+    node
+}
+
+#[test]
+fn a_certificate_names_its_caller_and_a_revoked_one_is_refused_on_old_connections_and_by_resumption() {
+    let setting = Setting::new();
+    let files = Files::new(&setting);
+    let node = started(&setting, &files);
+    let (front, other) = (files.client(Some((&files.clients, 7))), files.client(Some((&files.clients, 8))));
+    let mut old = Secure::of(&node, &front).expect("it connects");
+    assert!(satisfied(&old.job(2, "read", None)));
+    assert_eq!(denied(&old.job(3, "book", None)), "the caller may not ask for this use case");
+    let mut again = Secure::of(&node, &front).expect("it connects");
+    assert!(again.resumed() && satisfied(&again.job(2, "read", None)), "a resumed session keeps its caller");
+    let mut stays = Secure::of(&node, &other).expect("it connects");
+    // Without a certificate, by token.
+    let mut bare = Secure::of(&node, &files.client(None)).expect("it connects");
+    assert_eq!(denied(&bare.job(2, "read", None)), "no token or certificate names the caller");
+    let desk = setting.token("desk", "30");
+    assert!(satisfied(&bare.job(3, "book", Some(&desk))));
+
+    // A list that is past its next update still says who is revoked.
+    files.write("revoked.pem", &files.clients.revoked(&[7], 2026));
+    assert!(node.signal("HUP"));
+    let mut call = 10;
+    assert!(comes_true(SOON, || {
+        call += 1;
+        !satisfied(&old.job(call, "read", None))
+    }));
+    assert_eq!(denied(&old.job(900, "read", None)), "revoked");
+    assert_eq!(denied(&again.job(901, "read", None)), "revoked");
+    for _ in 0..3 {
+        let served =
+            Secure::of(&node, &front).is_some_and(|mut secure| satisfied(&secure.job(2, "read", None)));
+        assert!(!served, "it keeps trying, by resumption too");
+    }
+    assert!(satisfied(&stays.job(2, "read", None)), "others go on");
+}
+
+#[test]
+fn an_authority_is_replaced_without_dropping_connections_and_files_that_are_wrong_change_nothing() {
+    let setting = Setting::new();
+    let files = Files::new(&setting);
+    let node = started(&setting, &files);
+    let before = files.client(Some((&files.clients, 7)));
+    let mut old = Secure::of(&node, &before).expect("it connects");
+    assert!(satisfied(&old.job(2, "read", None)));
+    files.write("node.key", "no key");
+    assert!(node.signal("HUP"));
+    assert!(satisfied(&Secure::of(&node, &before).expect("it connects").job(2, "read", None)));
+    let next = Authority::new();
+    let (certificate, key, _, _) = files.server.sign(None, 2);
+    files.write("node.pem", &certificate);
+    files.write("node.key", &key);
+    files.write("clients.pem", &next.pem);
+    files.write("revoked.pem", &next.revoked(&[], 2040));
+    assert!(node.signal("HUP"));
+    let after = files.client(Some((&next, 7)));
+    assert!(
+        comes_true(SOON, || Secure::of(&node, &after).is_some()),
+        "the new authority's certificates are taken"
+    );
+    assert!(Secure::of(&node, &before).is_none(), "the old one's are not");
+    assert!(satisfied(&old.job(3, "read", None)), "a connection that stands goes on");
+}
+
+#[test]
+fn a_flood_of_half_handshakes_costs_a_fixed_amount_and_keeps_nobody_out() {
+    let setting = Setting::new();
+    let files = Files::new(&setting);
+    let node = started(&setting, &files);
+    let front = files.client(Some((&files.clients, 7)));
+    let began = Instant::now();
+    let half: Vec<TcpStream> = (0..300)
+        .filter_map(|place| {
+            let mut stream = TcpStream::connect(node.plan.listen).ok()?;
+            // Some say nothing, some begin a record and go no further.
+            (place % 2 == 0).then(|| stream.write_all(&[22, 3, 1, 2, 0, 1, 0, 1])).transpose().ok()?;
+            Some(stream)
+        })
+        .collect();
+    assert!(half.len() > 250);
+    let mut secure = Secure::of(&node, &front).expect("it connects");
+    assert!(satisfied(&secure.job(2, "read", None)));
+    assert!(began.elapsed() < Duration::from_secs(2), "before the half ones are over");
+    let closed = |stream: &TcpStream| {
+        let _ = stream.set_nonblocking(true);
+        matches!(std::io::Read::read(&mut &*stream, &mut [0]), Ok(0))
+            || stream.take_error().is_ok_and(|error| error.is_some())
+    };
+    let most = |stream: &&TcpStream| !closed(stream);
+    assert!(
+        comes_true(Duration::from_secs(1), || half.iter().filter(most).count() <= 130),
+        "past the bound the slowest are ended"
+    );
+    assert!(comes_true(Duration::from_secs(4), || half.iter().all(closed)), "and all of them in time");
+    assert!(satisfied(&secure.job(3, "read", None)));
+}
