Ceilings of callers reach the module as a hint; a step back leaves what was revoked revoked; measured

Need: a caller's rate ceiling is to weigh in the order of jobs without a second admission, and a trial that fails must not un-revoke anybody.

Change: Job::beyond, which run_held weighs as it does a customer beyond its quota; TakeEffect says when it is a step back, and the identity set then keeps revocations of the one that failed. `hazelgrade-demo measure identity`.

--- a/crates/hazelgrade-demo/src/main.rs
+++ b/crates/hazelgrade-demo/src/main.rs
@@ -5,6 +5,8 @@
 mod scenes;
 
 use pico_args::Arguments;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::alloc::System;
 use std::process::ExitCode;
 
 const USAGE: &str = "\
@@ -12,12 +14,17 @@
 
 usage:
   hazelgrade-demo [SCENE]         plays a scene, streaming if none is named
-  hazelgrade-demo measure [WHAT]  measures streaming: all, or effect, bytes, reconnects, start or latency
+  hazelgrade-demo measure [WHAT]  measures streaming: all, or effect, bytes, reconnects, start or latency;
+                                  or identity
 
 scenes:
   streaming    a control service, two nodes, and callers; a good version, a wrong one and a harmful one
 ";
 
+/// Counts allocations, for the measurements.
+#[global_allocator]
+pub static ALLOCATIONS: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 /// Under this word it is the program `hazelgrade` itself, so that a scene needs no other file.
 pub const SELF: &str = "hazelgrade";
 
@@ -32,6 +39,7 @@
     let done = match words[..] {
         [] | ["streaming"] => scenes::streaming::play(),
         ["measure"] => measure::streaming::all(),
+        ["measure", "identity"] => measure::identity::all(),
         ["measure", what] => measure::streaming::one(what),
         _ => {
             print!("{USAGE}");
--- a/crates/hazelgrade-demo/src/measure/mod.rs
+++ b/crates/hazelgrade-demo/src/measure/mod.rs
@@ -1,1 +1,2 @@
+pub mod identity;
 pub mod streaming;
--- a/crates/hazelgrade-demo/src/measure/streaming.rs
+++ b/crates/hazelgrade-demo/src/measure/streaming.rs
@@ -60,7 +60,7 @@
     Ok(true)
 }
 
-fn table<const N: usize>(header: [&str; N]) -> Table {
+pub fn table<const N: usize>(header: [&str; N]) -> Table {
     let mut table = Table::new();
     table.load_style(ASCII_MARKDOWN);
     table.set_header(header);
@@ -68,7 +68,7 @@
 }
 
 /// Median, lowest and highest of some runs.
-fn spread(mut runs: Vec<f64>) -> String {
+pub fn spread(mut runs: Vec<f64>) -> String {
     runs.sort_by(f64::total_cmp);
     match (runs.first(), runs.get(runs.len() / 2), runs.last()) {
         (Some(least), Some(median), Some(most)) => format!("{median:.1} ({least:.1} to {most:.1})"),
@@ -99,7 +99,7 @@
         keeping.boxed_local()
     }
 
-    fn take_effect(&self, document: Option<&Document>) -> Result<(), String> {
+    fn take_effect(&self, document: Option<&Document>, _back: bool) -> Result<(), String> {
         if let Some(document) = document {
             // Nobody listens any more once the measurement is over.
             let _ = self.took.borrow().send((document.digest().to_string(), Instant::now()));
--- a/crates/hazelgrade-identity/src/desk.rs
+++ b/crates/hazelgrade-identity/src/desk.rs
@@ -6,14 +6,18 @@
 use crate::doubt::Doubt;
 use crate::set::{CallerId, Identity};
 use crate::token::{Refused, Verified, stands, verify};
-use hazelgrade::time::Time;
-use std::collections::BTreeMap;
+use hazelgrade::decay::DecaySum;
+use hazelgrade::time::{Span, Time};
+use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
 use std::rc::Rc;
 
 /// Tokens that are remembered: some 200 bytes each.
 pub const REMEMBERED: usize = 16 * 1024;
 
+/// Over so long a caller's jobs are counted against its ceiling: a burst of some seconds is none.
+const RATE_FADE_MS: f64 = 5000.0;
+
 /// What a certificate says, once its chain was verified.
 #[derive(Clone, Debug, Default)]
 pub struct Certificate {
@@ -36,6 +40,7 @@
     book: Book,
     doubt: Doubt,
     audit: Audit,
+    rates: HashMap<String, DecaySum>,
     /// Signatures that were checked.
     pub checked: u64,
 }
@@ -44,7 +49,8 @@
     /// `None` if no key of the set verifies now.
     pub fn new(identity: Identity, now: Time) -> Option<Desk> {
         let (book, doubt, audit) = (Book::new(REMEMBERED), Doubt::default(), Audit::default());
-        identity.verifies_at(now).then_some(Desk { identity, book, doubt, audit, checked: 0 })
+        let rates = HashMap::new();
+        identity.verifies_at(now).then_some(Desk { identity, book, doubt, audit, rates, checked: 0 })
     }
 
     /// Another set from now on; turned down, and nothing changed, if no key of it verifies now.
@@ -56,6 +62,12 @@
         Ok(())
     }
 
+    /// Back to the set before one that failed; what that one revoked stays revoked.
+    pub fn go_back(&mut self, mut identity: Identity, now: Time) -> Result<(), &'static str> {
+        identity.also_revoked(&self.identity);
+        self.replace(identity, now)
+    }
+
     /// The site's names have other places.
     pub fn compile(&mut self, use_cases: &BTreeMap<&str, usize>, customers: &BTreeMap<&str, usize>) {
         self.identity.compile(use_cases, customers);
@@ -117,6 +129,31 @@
         self.identity.may(caller, use_case, customer, from)
     }
 
+    /// The same for a job that is asked for now: whether its caller is beyond its ceiling too, a hint for the module.
+    pub fn asks(
+        &mut self,
+        now: Time,
+        known: &Known,
+        use_case: usize,
+        customer: Option<usize>,
+        from: IpAddr,
+    ) -> Result<(usize, bool), Refused> {
+        let caller = self.caller(now, known)?;
+        let customer = self.identity.may(caller, use_case, customer, from)?;
+        let Some(ceiling) = self.identity.jobs_per_s(caller) else { return Ok((customer, false)) };
+        let fade = Span::from_ms(RATE_FADE_MS);
+        // By name, so that another set of callers goes on from the same sums; bounded by the callers of a set.
+        if !self.rates.contains_key(self.identity.name(caller)) {
+            if self.rates.len() >= REMEMBERED {
+                self.rates.clear();
+            }
+            self.rates.insert(self.identity.name(caller).to_owned(), DecaySum::new(fade));
+        }
+        let Some(rate) = self.rates.get_mut(self.identity.name(caller)) else { return Ok((customer, false)) };
+        rate.add(now, 1.0);
+        Ok((customer, rate.read(now) > ceiling * RATE_FADE_MS / 1000.0))
+    }
+
     /// Notes a refusal.
     pub fn refused(&mut self, now: Time, known: &Known, refused: Refused) {
         let caller = match (&known.token, &known.certificate) {
--- a/crates/hazelgrade-identity/src/set.rs
+++ b/crates/hazelgrade-identity/src/set.rs
@@ -150,6 +150,19 @@
         self.keys.values().any(|key| matches!(key.life(now), Life::Active | Life::Retiring))
     }
 
+    /// What another set revoked is revoked here too.
+    pub(crate) fn also_revoked(&mut self, other: &Identity) {
+        for (kid, key) in &mut self.keys {
+            key.revoked |= other.keys.get(kid).is_some_and(|key| key.revoked);
+        }
+        for caller in &mut self.callers {
+            let of_other = other.by_name.get(&caller.name).and_then(|id| other.callers.get(id.0));
+            caller.revoked |= of_other.is_some_and(|other| other.revoked);
+        }
+        self.revoked_tokens.extend(other.revoked_tokens.iter().cloned());
+        self.revoked_certificates.extend(other.revoked_certificates.iter().cloned());
+    }
+
     /// Brings the rights to the places of the site: by name of each use case and customer that is in use.
     pub fn compile(&mut self, use_cases: &BTreeMap<&str, usize>, customers: &BTreeMap<&str, usize>) {
         let bits = |names: &[String], places: &BTreeMap<&str, usize>| {
--- a/crates/hazelgrade-identity/tests/handshakes.rs
+++ b/crates/hazelgrade-identity/tests/handshakes.rs
@@ -15,6 +15,8 @@
     let (_, _, gone) = handshakes.begin(at(20.0));
     assert_eq!((gone, handshakes.count(), handshakes.ended), (None, 3, 1));
     // However many come, no more are under way.
-    (0..1000).for_each(|_| drop(handshakes.begin(at(30.0))));
+    for _ in 0..1000 {
+        let _ = handshakes.begin(at(30.0));
+    }
     assert_eq!((handshakes.count(), handshakes.ended), (3, 1001));
 }
--- a/crates/hazelgrade-identity/tests/identity.rs
+++ b/crates/hazelgrade-identity/tests/identity.rs
@@ -460,3 +460,42 @@
     let late = Span::from_ms(1e9);
     assert!(desk.token(at(NOW_S) + late, &token(REMEMBERED * 2), HERE).is_err());
 }
+
+#[test]
+fn a_step_back_to_the_set_before_leaves_what_was_revoked_revoked() {
+    let signer = Signer::new("EdDSA").expect("a key");
+    let mut desk = Desk::new(compiled(&usual(&signer)), at(NOW_S)).expect("a set");
+    let token = |caller: &str, id: &str| {
+        signer.sign("k1", &Claims { jti: Some(id.into()), ..claims(caller) }).expect("signed")
+    };
+    let mut known = |caller: &str, id: &str| Known {
+        token: desk.token(at(NOW_S), &token(caller, id), HERE).ok(),
+        certificate: None,
+    };
+    let (front, booking, other) = (known("front-desk", "t1"), known("booking", "t2"), known("booking", "t3"));
+    let revokes = usual(&signer).replace("[caller.front-desk]\n", "[caller.front-desk]\nrevoked = true\n");
+    desk.replace(compiled(&format!("{revokes}[revoked]\ntokens = [\"t2\"]\n")), at(NOW_S)).expect("a set");
+    desk.go_back(compiled(&usual(&signer)), at(NOW_S)).expect("a set");
+    assert_eq!(desk.may(at(NOW_S), &front, 0, None, HERE), Err(Refused::Revoked));
+    assert_eq!(desk.may(at(NOW_S), &booking, 0, Some(0), HERE), Err(Refused::Revoked));
+    assert_eq!(desk.may(at(NOW_S), &other, 0, Some(0), HERE), Ok(0));
+    // A set that is published after that is taken as it is.
+    desk.replace(compiled(&usual(&signer)), at(NOW_S)).expect("a set");
+    assert_eq!(desk.may(at(NOW_S), &front, 0, None, HERE), Ok(0));
+}
+
+#[test]
+fn a_caller_beyond_its_ceiling_is_told_to_the_module_and_let_in() {
+    let signer = Signer::new("EdDSA").expect("a key");
+    let limited = usual(&signer).replace("[caller.booking]\n", "[caller.booking]\njobs_per_s = 10\n");
+    let mut desk = Desk::new(compiled(&limited), at(NOW_S)).expect("a set");
+    let token = signer.sign("k1", &claims("booking")).expect("signed");
+    let known = Known { token: desk.token(at(NOW_S), &token, HERE).ok(), certificate: None };
+    let mut beyond = |from: f64, gap: f64| {
+        let asked = (0..200)
+            .map(|count| desk.asks(at(NOW_S + from + f64::from(count) * gap), &known, 0, Some(0), HERE));
+        asked.filter(|asked| asked.expect("it is let in").1).count()
+    };
+    assert_eq!(beyond(0.0, 0.2), 0, "five a second");
+    assert!(beyond(50.0, 0.02) > 100, "fifty a second");
+}
--- a/crates/hazelgrade-server/src/program/identity.rs
+++ b/crates/hazelgrade-server/src/program/identity.rs
@@ -37,15 +37,16 @@
     Ok(document)
 }
 
-fn take(document: &Document, parts: &Parts) -> Result<(), String> {
+/// `back`: after a version that failed. What that one revoked stays revoked.
+fn take(document: &Document, parts: &Parts, back: bool) -> Result<(), String> {
     let identity = Identity::of(document)?;
     let now = parts.rounds.clock.now();
-    parts.callers.replace(identity, &parts.site.borrow(), now).map_err(str::to_owned)
+    parts.callers.replace(identity, &parts.site.borrow(), now, back).map_err(str::to_owned)
 }
 
 /// SIGHUP: the file as it is now; one that is wrong changes nothing.
 pub fn reload(path: &Path, parts: &Parts) {
-    match read_document(path).and_then(|document| take(&document, parts)) {
+    match read_document(path).and_then(|document| take(&document, parts, false)) {
         Ok(()) => tracing::info!(path = %path.display(), "identities read again"),
         Err(fault) => tracing::error!(fault, "the new identities are wrong and change nothing"),
     }
@@ -76,7 +77,7 @@
     let file = identified.document.as_deref().map(read_document).transpose()?;
     let Some((streamed, kit)) = streamed.zip(kit).filter(|_| identified.streamed) else {
         if let Some(document) = &file {
-            take(document, parts).map_err(|why| format!("field identity.document: {why}"))?;
+            take(document, parts, false).map_err(|why| format!("field identity.document: {why}"))?;
         }
         return Ok(None);
     };
@@ -138,9 +139,9 @@
         .boxed_local()
     }
 
-    fn take_effect(&self, document: Option<&Document>) -> Result<(), String> {
+    fn take_effect(&self, document: Option<&Document>, back: bool) -> Result<(), String> {
         match document {
-            Some(document) => take(document, &self.parts),
+            Some(document) => take(document, &self.parts, back),
             None => {
                 self.parts.callers.none();
                 Ok(())
--- a/crates/hazelgrade-server/src/program/streaming.rs
+++ b/crates/hazelgrade-server/src/program/streaming.rs
@@ -273,7 +273,7 @@
         .boxed_local()
     }
 
-    fn take_effect(&self, document: Option<&Document>) -> Result<(), String> {
+    fn take_effect(&self, document: Option<&Document>, _back: bool) -> Result<(), String> {
         self.serve_by(document)
     }
 
--- a/crates/hazelgrade-server/src/routing/callers.rs
+++ b/crates/hazelgrade-server/src/routing/callers.rs
@@ -35,11 +35,19 @@
     }
 
     /// Another set of keys, callers and rights, from the next job on.
-    pub fn replace(&self, mut identity: Identity, site: &Site, now: Time) -> Result<(), &'static str> {
+    /// With `back` it is the one before a set that failed; what that one revoked stays revoked.
+    pub fn replace(
+        &self,
+        mut identity: Identity,
+        site: &Site,
+        now: Time,
+        back: bool,
+    ) -> Result<(), &'static str> {
         let (use_cases, customers) = places(site);
         identity.compile(&use_cases, &customers);
         let mut desk = self.desk.borrow_mut();
         match &mut *desk {
+            Some(desk) if back => desk.go_back(identity, now),
             Some(desk) => desk.replace(identity, now),
             None => {
                 let new = Desk::new(identity, now)
@@ -102,11 +110,11 @@
                 return Err(Refused::Revoked);
             }
             let own = token.map(|token| Known { token: Some(token), certificate: None });
-            desk.may(now, own.as_ref().unwrap_or(&known), asked.job.use_case, customer, caller.from)
+            desk.asks(now, own.as_ref().unwrap_or(&known), asked.job.use_case, customer, caller.from)
         });
         match may {
-            Ok(customer) => {
-                asked.job.customer = customer;
+            Ok((customer, beyond)) => {
+                (asked.job.customer, asked.job.beyond) = (customer, beyond);
                 Ok(())
             }
             Err(refused) => {
--- a/crates/hazelgrade-standins/src/node.rs
+++ b/crates/hazelgrade-standins/src/node.rs
@@ -105,6 +105,10 @@
         Ok(())
     }
 
+    pub fn process(&self) -> &Child {
+        &self.child
+    }
+
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
--- a/crates/hazelgrade-stream/src/follow.rs
+++ b/crates/hazelgrade-stream/src/follow.rs
@@ -32,8 +32,9 @@
     fn now(&self) -> Time;
     /// Has the bytes kept, off the serving thread; done when they are on the disk.
     fn keep(&self, bytes: Vec<u8>) -> BoxedLocal<Result<(), String>>;
-    /// Serves by this from the next round on; by nothing, not ready, if there is none.
-    fn take_effect(&self, document: Option<&Document>) -> Result<(), String>;
+    /// Serves by this from the next round on; by nothing, not ready, if there is none. `back`: it is what was served before a
+    /// version that failed.
+    fn take_effect(&self, document: Option<&Document>, back: bool) -> Result<(), String>;
     /// Service since this was asked last.
     fn sample(&self) -> Sample;
 }
@@ -161,8 +162,8 @@
                 };
                 self.tasks.spawn(kept).detach();
             }
-            Action::TakeEffect { document } => {
-                let done = self.host.take_effect(document.as_deref());
+            Action::TakeEffect { document, back } => {
+                let done = self.host.take_effect(document.as_deref(), back);
                 if let Err(why) = &done {
                     tracing::error!(why, "a configuration can't take effect here");
                 }
--- a/crates/hazelgrade-stream/src/subscriber.rs
+++ b/crates/hazelgrade-stream/src/subscriber.rs
@@ -70,8 +70,10 @@
         kept: Kept,
     },
     /// Serve by this from the next round on; by nothing, not ready, if there is none.
+    /// `back`: it is what was served before a version that failed.
     TakeEffect {
         document: Option<Arc<Document>>,
+        back: bool,
     },
     /// For the log.
     Note(String),
@@ -203,7 +205,7 @@
             keep_failures: 0,
             keep_at: None,
         };
-        out.push(Action::TakeEffect { document: subscriber.base() });
+        out.push(Action::TakeEffect { document: subscriber.base(), back: false });
         if let Some((version, _)) = died {
             let deaths = subscriber.kept.died(version.digest);
             let why = format!("the node died with it on trial, {deaths} of {SUSPECT_AT} times");
@@ -542,7 +544,7 @@
     /// Back to what was served before the version on trial.
     fn fail(&mut self, why: String, out: &mut Vec<Action>) {
         let Some(Attempt { version, .. }) = self.attempt.take() else { return };
-        out.push(Action::TakeEffect { document: self.base() });
+        out.push(Action::TakeEffect { document: self.base(), back: true });
         out.push(Action::Note(format!("went back from version {version}: {why}")));
         self.kept.trial = None;
         self.kept.failed = Some((version, why.clone()));
@@ -614,7 +616,7 @@
         match attempt.stage {
             Stage::Keeping(since) if ticket >= since => {
                 attempt.stage = Stage::Entering;
-                out.push(Action::TakeEffect { document: Some(attempt.document.clone()) });
+                out.push(Action::TakeEffect { document: Some(attempt.document.clone()), back: false });
             }
             Stage::Settling(since) if ticket >= since => {
                 let Some(Attempt { version, document, .. }) = self.attempt.take() else { return };
--- a/crates/hazelgrade-stream/tests/histories.rs
+++ b/crates/hazelgrade-stream/tests/histories.rs
@@ -154,7 +154,7 @@
                     }
                     self.tell(Event::Stored { ticket, done });
                 }
-                Action::TakeEffect { document } => {
+                Action::TakeEffect { document, .. } => {
                     // What served before can be gone back to.
                     let good = self.plain.disk.good.as_ref().map(|good| good.version.digest);
                     let digest = document.as_ref().map(|document| document.digest());
@@ -381,7 +381,7 @@
 #[test]
 fn a_silent_control_service_is_left_for_the_next_and_one_that_asks_for_time_is_given_it() {
     let (mut node, first) = start(at(0.0), Kept::default(), None);
-    assert!(first.contains(&Action::TakeEffect { document: None }), "nothing to serve by");
+    assert!(first.contains(&Action::TakeEffect { document: None, back: false }), "nothing to serve by");
     take(&mut node, at(10.0), Event::Up);
     let wakes = node.wakes_at().expect("it wants to be woken");
     assert!(!take(&mut node, at(11.0), Event::Woke).contains(&Action::HangUp));
--- a/crates/hazelgrade-stream/tests/states.rs
+++ b/crates/hazelgrade-stream/tests/states.rs
@@ -126,7 +126,7 @@
                     self.to_publisher.push(said);
                 }
                 Action::Keep { ticket, kept } => self.writing = Some((ticket, kept)),
-                Action::TakeEffect { document } => {
+                Action::TakeEffect { document, .. } => {
                     self.effect = document.map(|document| document.digest());
                     self.tell(Event::TookEffect(Ok(())));
                 }
--- a/crates/hazelgrade-wirehost/src/wire.rs
+++ b/crates/hazelgrade-wirehost/src/wire.rs
@@ -187,6 +187,7 @@
         again,
         repeats,
         known: true,
+        beyond: false,
     })
 }
 
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -746,6 +746,8 @@
             let scale = self.callers.fleet * 1000.0 / self.fade.as_ms();
             let (rate, quota) = (self.quotas.get_mut(held.job.customer), held.quota);
             let part = rate.map_or(1.0, |(sum, _)| part_in_quota(sum.read(now) * scale, quota, beyond));
+            // A caller beyond its ceiling counts as a customer beyond its quota does.
+            let part = if held.job.beyond { part * beyond } else { part };
             hold.push((earns * part / self.core_time(now, use_case).as_ms().max(0.001), use_case, id));
         }
         // Stable: among equals the one read first.
--- a/crates/hazelgrade/src/desk.rs
+++ b/crates/hazelgrade/src/desk.rs
@@ -29,6 +29,8 @@
     pub repeats: Option<JobId>,
     /// Its caller has had a job run before: what it sends tells of the load.
     pub known: bool,
+    /// Its caller asks for more than its ceiling, where it has one: a hint, no verdict.
+    pub beyond: bool,
 }
 
 /// May a job of a use case run again?
--- a/crates/hazelgrade/tests/common/mod.rs
+++ b/crates/hazelgrade/tests/common/mod.rs
@@ -120,6 +120,7 @@
         again: false,
         repeats: None,
         known: true,
+        beyond: false,
     }
 }
 
--- a/crates/hazelgrade/tests/revisions.rs
+++ b/crates/hazelgrade/tests/revisions.rs
@@ -99,3 +99,30 @@
     let acts = round(&mut control, at(20.0), |inflow| inflow.arrived(job("a", at(20.0))));
     assert!(acts.contains(&Act::Run("a".into())), "{acts:?}");
 }
+
+#[test]
+fn a_job_beyond_its_callers_ceiling_waits_behind_one_that_is_not() {
+    let setup = setup();
+    let mut control = setup.control();
+    let first = round(&mut control, at(0.0), |inflow| {
+        (0..8).for_each(|n| inflow.arrived(job(&format!("a{n}"), at(0.0))));
+    });
+    let running = first.iter().filter(|act| matches!(act, Act::Run(_))).count();
+    round(&mut control, at(10.0), |inflow| {
+        inflow.arrived(Job { beyond: true, ..job("beyond", at(10.0)) });
+        inflow.arrived(job("within", at(10.0)));
+    });
+    let mut order = Vec::new();
+    for n in 0..running {
+        let id = format!("a{n}");
+        let acts = round(&mut control, at(20.0 + n as f64), |inflow| {
+            inflow.run_ended(&id.as_str().into(), Outcome::Completed, ms(20.0));
+        });
+        order.extend(acts.into_iter().filter_map(|act| match act {
+            Act::Run(id) => Some(id),
+            _ => None,
+        }));
+    }
+    let place = |id: &str| order.iter().position(|run| &**run == id);
+    assert!(place("within").is_some() && place("within") < place("beyond").or(Some(usize::MAX)), "{order:?}");
+}
