The instance's linking, threads and sockets are held by a test

Read from the kernel's account at a start and under load, it is so: three threads (serving, async-io, log), no child; signals are handed on over a nameless socket pair inside the process, which nobody could come to.

--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -93,6 +93,10 @@
         command(&["serve", "--log", "warn"]).env("PROXY_CONFIG", file).spawn().expect("it starts")
     }
 
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn configuration(&self) -> String {
         self.configuration.to_string()
     }
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -1,3 +1,4 @@
 mod common;
 mod input;
+mod process;
 mod serving;
--- a/crates/hazelgrade/tests/crowd.rs
+++ b/crates/hazelgrade/tests/crowd.rs
@@ -444,7 +444,7 @@
             let live: Vec<&Server> = self.servers.iter().filter(|server| !self.gone[server.zone]).collect();
             let bad = live.iter().filter(|server| !server.good).count();
             self.seen.bad.push(bad as f64 / live.len() as f64);
-            if (self.now / TICK).round() as u64 % 100 == 0 {
+            if ((self.now / TICK).round() as u64).is_multiple_of(100) {
                 let count = live.len() as f64;
                 let (mut sum, mut squares, mut busy) = (0.0, 0.0, 0.0);
                 for server in &mut self.servers {
