--- a/crates/hazelgrade-demo/src/main.rs
+++ b/crates/hazelgrade-demo/src/main.rs
@@ -3,6 +3,7 @@
 mod measure;
 mod parts;
 mod scenes;
+mod trouble;
 
 use pico_args::Arguments;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
@@ -14,6 +15,8 @@
 
 usage:
   hazelgrade-demo [SCENE]         plays a scene, streaming if none is named
+  hazelgrade-demo trouble [--seed N] [--minutes M] [--nodes N] [--faults N] [--repeat N] [--plan FILE]
+                                  many nodes with faults between them, drawn by seed or from a file
   hazelgrade-demo measure [WHAT]  measures streaming: all, or effect, bytes, reconnects, start or latency;
                                   or identity
 
@@ -38,6 +41,7 @@
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let done = match words[..] {
         [] | ["streaming"] => scenes::streaming::play(),
+        ["trouble", ..] => trouble::play(&words[1..]),
         ["measure"] => measure::streaming::all(),
         ["measure", "identity"] => measure::identity::all(),
         ["measure", what] => measure::streaming::one(what),
--- a/crates/hazelgrade-demo/src/measure/streaming.rs
+++ b/crates/hazelgrade-demo/src/measure/streaming.rs
@@ -1,7 +1,7 @@
 //! Streamed configuration in figures, as tables in Markdown; `docs/results.md` has them with what they were taken on.
 
 use crate::SELF;
-use crate::parts::{Control, failed, program};
+use crate::parts::{control as control_service, failed, program};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use comfy_table::{Table, presets::ASCII_MARKDOWN};
@@ -364,7 +364,7 @@
     let gone = free_address();
     let trial = "[stream.trial]\nspan_ms = 100\n";
     // A node that has kept a good version.
-    let control = Control::start(&serving)?;
+    let control = control_service(&serving)?;
     let stream = format!("lineage = \"demo\"\n{trial}");
     let mut plan = world.plan("kept", &program()?, &[SELF], control.address, &stream);
     plan.log = "off".into();
@@ -404,7 +404,7 @@
     };
     add("from its file, a new store, control service gone", (0..RUNS).map(|_| fresh(&plan)).collect())?;
     add("from its file, its store there, control service gone", (0..RUNS).map(|_| ready(&plan)).collect())?;
-    let control = Control::start(&serving)?;
+    let control = control_service(&serving)?;
     let mut plan = world.plan("first", &program()?, &[SELF], control.address, trial);
     plan.log = "off".into();
     comes_true(WITHIN, || !control.status().is_null());
@@ -453,7 +453,7 @@
     let world = World::new(work).map_err(failed)?;
     let version = |number: u32| text(&[("read", 1000 + number, 9000, 1), BOOK], 50, "");
     let first = Document::read(&version(0), "first").map_err(|faults| faults[0].to_string())?;
-    let control = Control::start(&first)?;
+    let control = control_service(&first)?;
     let stream = "lineage = \"demo\"\n[stream.trial]\nspan_ms = 300\n";
     let mut plan = world.plan("n1", &program()?, &[SELF], control.address, stream);
     plan.log = "off".into();
@@ -472,7 +472,7 @@
                 std::thread::sleep(Duration::from_secs(1));
                 if streamed == 1 {
                     number += 1;
-                    control.publish(&version(number))?;
+                    control.publish(&version(number)).map_err(failed)?;
                 }
             }
             runs.push(callers.stop().0);
--- a/crates/hazelgrade-demo/src/scenes/streaming.rs
+++ b/crates/hazelgrade-demo/src/scenes/streaming.rs
@@ -2,12 +2,13 @@
 //! is streamed, then a document that is wrong, then one that is right and does harm.
 
 use crate::SELF;
-use crate::parts::{Control, failed, program};
+use crate::parts::{control as control_service, failed, program};
 use comfy_table::{Table, presets::ASCII_MARKDOWN};
 use hazelgrade_standins::callers::{Callers, Fate, Told};
 use hazelgrade_standins::documents::{BOOK, READ, document, text};
 use hazelgrade_standins::executor::Work;
 use hazelgrade_standins::node::Node;
+use hazelgrade_standins::service::Service;
 use hazelgrade_standins::world::{World, callers};
 use hazelgrade_standins::{comes_true, rules};
 use serde_json::Value;
@@ -43,7 +44,7 @@
 }
 
 /// Waits until both nodes stand so with a version of this number.
-fn wait(control: &Control, number: u64, word: &str) -> Result<(), String> {
+fn wait(control: &Service, number: u64, word: &str) -> Result<(), String> {
     let mut status = Value::Null;
     let so = comes_true(WITHIN, || {
         std::thread::sleep(LOOK);
@@ -57,7 +58,7 @@
 }
 
 fn act(
-    control: &Control,
+    control: &Service,
     name: &'static str,
     what: impl FnOnce() -> Result<(), String>,
 ) -> Result<Act, String> {
@@ -76,7 +77,7 @@
 /// `true` if every rule was kept and every act ended as it should.
 pub fn play() -> Result<bool, String> {
     let first = document(&[READ], 2, "")?;
-    let control = Control::start(&first)?;
+    let control = control_service(&first)?;
     let work = Work { cores: 4, takes: Duration::from_millis(20), calls: true };
     let stage = |name: &str| -> Result<Stage, String> {
         let world = World::new(work).map_err(failed)?;
@@ -97,11 +98,11 @@
     let acts = [
         act(&control, "version 1: the first there is, on trial, then good", || wait(&control, 1, "good"))?,
         act(&control, "version 2: a use case and a customer more", || {
-            control.publish(&good)?;
+            control.publish(&good).map_err(failed)?;
             wait(&control, 2, "good")
         })?,
         act(&control, "a document that is wrong: told, not published", || {
-            control.publish("[use_case.read]\ngoal_ms = \"soon\"\n")?;
+            control.publish("[use_case.read]\ngoal_ms = \"soon\"\n").map_err(failed)?;
             let told = comes_true(WITHIN, || {
                 std::thread::sleep(LOOK);
                 control.status()["folder"].is_string()
@@ -109,7 +110,7 @@
             if told { Ok(()) } else { Err("what is wrong is not told in time".into()) }
         })?,
         act(&control, "version 3: right, and does harm: a cut-off of 10 ms; both nodes go back", || {
-            control.publish(&harmful)?;
+            control.publish(&harmful).map_err(failed)?;
             wait(&control, 3, "went back")
         })?,
         act(&control, "after it", || Ok(()))?,
--- /dev/null
+++ b/crates/hazelgrade-demo/src/trouble.rs
@@ -0,0 +1,156 @@
+//! A campaign: groups of nodes with faults between them, one drawn plan after the other, until the time is up. Whatever
+//! breaks a rule is played again and shrunk to the least plan that still does.
+
+use crate::SELF;
+use crate::parts::{failed, program};
+use comfy_table::{Table, presets::ASCII_MARKDOWN};
+use hazelgrade_rig::plan::Plan;
+use hazelgrade_rig::play::{Played, play as play_plan};
+use hazelgrade_rig::shrink::shrink;
+use hazelgrade_standins::callers::Fate;
+use pico_args::Arguments;
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// Plans that are played to shrink one that failed.
+const TRIES: usize = 40;
+const FAULTS: usize = 14;
+const NODES: usize = 5;
+
+struct Asked {
+    seed: u64,
+    minutes: Option<f64>,
+    nodes: usize,
+    faults: usize,
+    repeat: usize,
+    plan: Option<PathBuf>,
+}
+
+fn asked(words: &[&str]) -> Result<Asked, String> {
+    let mut words = Arguments::from_vec(words.iter().map(OsString::from).collect());
+    let asked = Asked {
+        seed: words.opt_value_from_str("--seed").map_err(failed)?.unwrap_or(1),
+        minutes: words.opt_value_from_str("--minutes").map_err(failed)?,
+        nodes: words.opt_value_from_str("--nodes").map_err(failed)?.unwrap_or(NODES),
+        faults: words.opt_value_from_str("--faults").map_err(failed)?.unwrap_or(FAULTS),
+        repeat: words.opt_value_from_str("--repeat").map_err(failed)?.unwrap_or(1),
+        plan: words.opt_value_from_str("--plan").map_err(failed)?,
+    };
+    match words.finish().first() {
+        Some(word) => Err(format!("trouble: {} is not known here", word.to_string_lossy())),
+        None if asked.nodes == 0 || asked.nodes > 20 => Err("--nodes: expected 1 to 20".into()),
+        None => Ok(asked),
+    }
+}
+
+/// What all plans came to.
+#[derive(Default)]
+struct Sum {
+    plans: usize,
+    faults: usize,
+    unmet: usize,
+    jobs: BTreeMap<Fate, usize>,
+    failed: Vec<(u64, Vec<String>)>,
+}
+
+impl Sum {
+    fn add(&mut self, plan: &Plan, played: &Played) {
+        self.plans += 1;
+        self.faults += plan.step.len();
+        self.unmet += played.unmet;
+        for job in &played.account.jobs {
+            *self.jobs.entry(job.fate).or_default() += 1;
+        }
+        if !played.breaks.is_empty() {
+            self.failed.push((plan.seed, played.breaks.iter().map(ToString::to_string).collect()));
+        }
+    }
+}
+
+fn once(plan: &Plan) -> Result<Played, String> {
+    play_plan(plan, &program()?, &[SELF])
+}
+
+/// `true` if no rule was broken.
+pub fn play(words: &[&str]) -> Result<bool, String> {
+    let asked = asked(words)?;
+    let began = Instant::now();
+    let lasting = asked.minutes.map(|minutes| Duration::from_secs_f64(minutes.clamp(0.0, 600.0) * 60.0));
+    let given = match &asked.plan {
+        None => None,
+        Some(path) => {
+            let shown = path.display();
+            let text = std::fs::read_to_string(path).map_err(|error| format!("{shown}: {error}"))?;
+            Some(Plan::read(&text).map_err(|error| format!("{shown}: {error}"))?)
+        }
+    };
+    let mut sum = Sum::default();
+    let mut seed = asked.seed;
+    loop {
+        let plan = given.clone().unwrap_or_else(|| Plan::draw(seed, asked.nodes, asked.faults));
+        let at = Instant::now();
+        let played = once(&plan)?;
+        sum.add(&plan, &played);
+        println!(
+            "{:>6.0} s  seed {:<8} {:>2} steps, {:>4} jobs, {:>5.1} s: {}",
+            began.elapsed().as_secs_f64(),
+            plan.seed,
+            plan.step.len(),
+            played.account.jobs.len(),
+            at.elapsed().as_secs_f64(),
+            if played.breaks.is_empty() { "kept" } else { "BROKEN" }
+        );
+        if !played.breaks.is_empty() {
+            played.breaks.iter().take(5).for_each(|broken| println!("         {broken}"));
+            tell_least(&plan);
+        }
+        seed += 1;
+        let time_is_up = lasting.is_none_or(|lasting| began.elapsed() >= lasting);
+        if time_is_up && sum.plans >= asked.repeat {
+            break;
+        }
+    }
+    let mut table = Table::new();
+    table.load_style(ASCII_MARKDOWN);
+    table.set_header([
+        "plans",
+        "steps",
+        "cues unmet",
+        "jobs",
+        "satisfied",
+        "bounced",
+        "lost, excused or not",
+        "plans that broke a rule",
+    ]);
+    let of = |fate| sum.jobs.get(&fate).copied().unwrap_or(0).to_string();
+    table.add_row([
+        sum.plans.to_string(),
+        sum.faults.to_string(),
+        sum.unmet.to_string(),
+        sum.jobs.values().sum::<usize>().to_string(),
+        of(Fate::Satisfied),
+        of(Fate::Bounced),
+        of(Fate::Lost),
+        sum.failed.len().to_string(),
+    ]);
+    println!("\n{table}\n");
+    println!("{:.1} plans a minute", sum.plans as f64 * 60.0 / began.elapsed().as_secs_f64());
+    for (seed, breaks) in &sum.failed {
+        println!("seed {seed}: {}", breaks.join("; "));
+    }
+    println!("rules: {}", if sum.failed.is_empty() { "all kept" } else { "BROKEN" });
+    Ok(sum.failed.is_empty())
+}
+
+/// Plays a plan that failed again, with fewer and fewer steps.
+fn tell_least(plan: &Plan) {
+    println!("         shrinking, at most {TRIES} plans");
+    let least = shrink(plan, TRIES, |plan| once(plan).is_ok_and(|played| !played.breaks.is_empty()));
+    if least.step.len() < plan.step.len() || once(plan).is_ok_and(|played| !played.breaks.is_empty()) {
+        println!("the least plan that failed, for --plan:\n\n{}", least.to_toml());
+    } else {
+        println!("played again, it kept the rules; the whole plan, for --plan:\n\n{}", plan.to_toml());
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-rig/src/account.rs
@@ -0,0 +1,220 @@
+//! One account of what happened to a group of processes, and the checkers that judge by it. Where the instant of an event
+//! isn't certain it is a span. Nothing here asks a process: it goes by what callers, executors and the control service
+//! saw, so that a group that is wrong about itself is found out.
+
+use hazelgrade::time::{Span, Time};
+use hazelgrade_standins::callers::Fate;
+use std::collections::BTreeMap;
+use std::fmt::{Display, Formatter};
+
+/// How far off a span's ends may be on a crowded machine.
+const UNSURE_MS: f64 = 500.0;
+/// A lost job on its way to a process that is about to end may have been sent so long before the end was seen.
+const CROSSING_MS: f64 = 1000.0;
+
+/// What was done to a node that excuses something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Killed: what it had in hand is lost.
+    Killed,
+    /// Not running after an orderly end: what reaches it then is refused, and never ran.
+    Gone,
+    /// Stopped: late is no fault of its own.
+    Stopped,
+    /// Its callers' connections are reset, or refused.
+    CallersReset,
+    /// Its callers are cut off from it or held up: lost connections and lateness are the edge's doing.
+    CallersHeld,
+}
+
+#[derive(Clone, Debug)]
+pub struct Spell {
+    pub node: usize,
+    pub trouble: Trouble,
+    pub from: Time,
+    /// None while it lasts.
+    pub to: Option<Time>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub node: usize,
+    pub id: String,
+    pub sent: Time,
+    pub after: Span,
+    pub fate: Fate,
+}
+
+/// What a node was seen to serve by, by the control service that it follows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub node: usize,
+    pub at: Time,
+    /// Grows when the node is started with another disk than its own.
+    pub disk: u32,
+    pub number: u64,
+    pub digest: String,
+    pub standing: String,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    pub cut_off: Span,
+    pub grace: Span,
+    pub spells: Vec<Spell>,
+    pub jobs: Vec<Job>,
+    /// How often each job was started, by node.
+    pub runs: Vec<BTreeMap<String, u32>>,
+    /// Answers for no open call.
+    pub answered_twice: u64,
+    pub seen: Vec<Seen>,
+    /// What was published: digests of documents that do harm.
+    pub harmful: Vec<String>,
+    /// The control service was given an old counter or none: numbers may come again with other documents.
+    pub numbers_anew: bool,
+    /// Processes that ended otherwise than they should.
+    pub ends: Vec<(usize, String)>,
+    /// What did not come in time, once all faults were over.
+    pub missing: Vec<String>,
+}
+
+/// A rule that was broken, and by what.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Break {
+    pub rule: &'static str,
+    pub what: String,
+}
+
+impl Display for Break {
+    fn fmt(&self, to: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(to, "{}: {}", self.rule, self.what)
+    }
+}
+
+impl Account {
+    pub fn begins(&mut self, node: usize, trouble: Trouble, from: Time) {
+        if !self.lasts(node, trouble) {
+            self.spells.push(Spell { node, trouble, from, to: None });
+        }
+    }
+
+    pub fn ends(&mut self, node: usize, trouble: Trouble, to: Time) {
+        let open = |spell: &&mut Spell| spell.node == node && spell.trouble == trouble && spell.to.is_none();
+        self.spells.iter_mut().filter(open).for_each(|spell| spell.to = Some(to));
+    }
+
+    pub fn lasts(&self, node: usize, trouble: Trouble) -> bool {
+        self.spells.iter().any(|spell| spell.node == node && spell.trouble == trouble && spell.to.is_none())
+    }
+
+    /// What was seen of a node: noted only when it differs from before.
+    pub fn saw(&mut self, seen: Seen) {
+        let before = self.seen.iter().rev().find(|before| before.node == seen.node);
+        if before.is_none_or(|before| Seen { at: before.at, ..seen.clone() } != *before) {
+            self.seen.push(seen);
+        }
+    }
+
+    /// Whether one of these troubles of the node touches the time from the job's sending to its end.
+    fn excused(&self, job: &Job, by: &[Trouble]) -> bool {
+        let (unsure, crossing) = (Span::from_ms(UNSURE_MS), Span::from_ms(CROSSING_MS));
+        let (from, to) = (job.sent - unsure, job.sent + job.after + unsure);
+        self.spells.iter().filter(|spell| spell.node == job.node && by.contains(&spell.trouble)).any(
+            |spell| {
+                let early = if spell.trouble == Trouble::Gone { crossing } else { Span::ZERO };
+                spell.from - early <= to && spell.to.is_none_or(|end| end >= from)
+            },
+        )
+    }
+
+    fn ran(&self, job: &Job) -> bool {
+        self.runs.get(job.node).is_some_and(|runs| runs.contains_key(&job.id))
+    }
+
+    /// Every rule that was broken.
+    pub fn breaks(&self) -> Vec<Break> {
+        let mut breaks = Vec::new();
+        let mut say = |rule, what: String| breaks.push(Break { rule, what });
+        use Trouble::*;
+        for job in &self.jobs {
+            let shown = || {
+                format!("job {} of node {}, {:?} after {} ms", job.id, job.node, job.fate, job.after.as_ms())
+            };
+            match job.fate {
+                Fate::Lost => {
+                    let by_force = self.excused(job, &[Killed, CallersReset, CallersHeld]);
+                    let refused = !self.ran(job) && self.excused(job, &[Gone]);
+                    if !by_force && !refused {
+                        say("no job lost", shown());
+                    }
+                }
+                // It never reached the node, or the node had left: it is sent again elsewhere.
+                Fate::Crossed => {}
+                _ if job.after > self.cut_off + self.grace && !self.excused(job, &[Stopped, CallersHeld]) => {
+                    say("no job late", shown());
+                }
+                _ => {}
+            }
+        }
+        for (node, runs) in self.runs.iter().enumerate() {
+            for (id, count) in runs.iter().filter(|(_, count)| **count > 1) {
+                say("no effect twice", format!("job {id} was run {count} times by node {node}"));
+            }
+        }
+        let mut by_id: BTreeMap<&str, usize> = BTreeMap::new();
+        for (node, runs) in self.runs.iter().enumerate() {
+            for id in runs.keys() {
+                if let Some(other) = by_id.insert(id, node) {
+                    say("no effect twice", format!("job {id} was run by nodes {other} and {node}"));
+                }
+            }
+        }
+        if self.answered_twice > 0 {
+            say("one answer", format!("{} answers for no open call", self.answered_twice));
+        }
+        self.check_versions(&mut say);
+        self.ends.iter().for_each(|(node, how)| say("safe drain", format!("node {node} {how}")));
+        self.missing.iter().for_each(|what| say("all is well again", what.clone()));
+        breaks
+    }
+
+    /// No two nodes by different documents of one number; none back but after a trial; none good by what does harm.
+    fn check_versions(&self, say: &mut impl FnMut(&'static str, String)) {
+        let mut documents: BTreeMap<u64, &Seen> = BTreeMap::new();
+        let mut last: BTreeMap<usize, &Seen> = BTreeMap::new();
+        for seen in &self.seen {
+            let first = documents.entry(seen.number).or_insert(seen);
+            if first.digest != seen.digest && !self.numbers_anew {
+                let what = format!(
+                    "number {} is {} for node {} and {} for node {}",
+                    seen.number, first.digest, first.node, seen.digest, seen.node
+                );
+                say("one document a number", what);
+            }
+            if seen.standing == "good" && self.harmful.contains(&seen.digest) {
+                say(
+                    "no harm stays",
+                    format!("node {} took {} {} as good", seen.node, seen.number, seen.digest),
+                );
+            }
+            let before = last.insert(seen.node, seen).filter(|before| before.disk == seen.disk);
+            if let Some(before) = before.filter(|before| before.number > seen.number)
+                && before.standing == "good"
+            {
+                let what = format!("node {} went from {} back to {}", seen.node, before.number, seen.number);
+                say("versions go on", what);
+            }
+        }
+    }
+
+    /// The part of a node's jobs, sent in this time, that were satisfied within `goal`; none if it had none.
+    pub fn part_served(&self, node: usize, from: Time, to: Time, goal: Span) -> Option<f64> {
+        let sent =
+            |job: &&Job| job.node == node && job.sent >= from && job.sent < to && job.fate != Fate::Crossed;
+        let (all, served) = self.jobs.iter().filter(sent).fold((0.0, 0.0), |(all, served), job| {
+            let good = job.fate == Fate::Satisfied && job.after <= goal;
+            (all + 1.0, served + f64::from(u8::from(good)))
+        });
+        (all > 0.0).then(|| served / all)
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-rig/src/edge.rs
@@ -0,0 +1,310 @@
+//! Edges: every connection or datagram between two processes of a test goes through one, at an address of its own.
+
+use crate::lane::{Datagrams, Next, Rules, Stream};
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use event_listener::Event;
+use futures_lite::future::{or, pending};
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use hazelgrade::time::{Span, Time};
+use rustix::net::sockopt::set_socket_linger;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, LazyLock, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Bytes that are read at a time.
+const PIECE: usize = 16 * 1024;
+
+/// All edges of a process are served here, by two threads.
+static EDGES: LazyLock<&'static Executor<'static>> = LazyLock::new(|| {
+    let edges: &'static Executor<'static> = Box::leak(Box::new(Executor::new()));
+    for _ in 0..2 {
+        std::thread::spawn(|| async_io::block_on(edges.run(pending::<()>())));
+    }
+    edges
+});
+static BEGAN: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// Since the first edge of this process.
+pub fn now() -> Time {
+    at(Instant::now())
+}
+
+pub fn at(instant: Instant) -> Time {
+    Time::from_ms(instant.saturating_duration_since(*BEGAN).as_secs_f64() * 1000.0)
+}
+
+async fn until(at: Option<Time>) {
+    match at {
+        Some(at) => {
+            Timer::after(Duration::from_secs_f64(at.since(now()).as_ms() / 1000.0)).await;
+        }
+        None => pending().await,
+    }
+}
+
+/// Towards the process that listens behind the edge, or back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    To,
+    Back,
+}
+
+struct Shared {
+    target: Mutex<SocketAddr>,
+    rules: Mutex<[Rules; 2]>,
+    refuses: AtomicBool,
+    /// Grows with each order to reset what stands.
+    resets: AtomicU64,
+    changed: Event,
+    connections: AtomicU64,
+    passed: [AtomicU64; 2],
+}
+
+/// A handle; clones are the same edge. It is there until the process ends.
+#[derive(Clone)]
+pub struct Edge {
+    shared: Arc<Shared>,
+    pub address: SocketAddr,
+}
+
+fn lock<T>(of: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Edge {
+    fn new(target: SocketAddr, address: SocketAddr) -> Edge {
+        let shared = Shared {
+            target: Mutex::new(target),
+            rules: Mutex::default(),
+            refuses: AtomicBool::new(false),
+            resets: AtomicU64::new(0),
+            changed: Event::new(),
+            connections: AtomicU64::new(0),
+            passed: Default::default(),
+        };
+        Edge { shared: Arc::new(shared), address }
+    }
+
+    /// An edge for connections.
+    pub fn tcp(target: SocketAddr) -> io::Result<Edge> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        rustix::net::listen(&listener, 4096)?;
+        let edge = Edge::new(target, listener.get_ref().local_addr()?);
+        let shared = edge.shared.clone();
+        EDGES.spawn(accept(listener, shared)).detach();
+        Ok(edge)
+    }
+
+    /// An edge for datagrams that nobody answers; `seed` draws which are lost, doubled or overtaken.
+    pub fn udp(target: SocketAddr, seed: u64) -> io::Result<Edge> {
+        let socket = Async::<UdpSocket>::bind(([127, 0, 0, 1], 0))?;
+        let edge = Edge::new(target, socket.get_ref().local_addr()?);
+        let shared = edge.shared.clone();
+        EDGES.spawn(forward(socket, shared, seed)).detach();
+        Ok(edge)
+    }
+
+    /// The process behind it is elsewhere from now on.
+    pub fn lead_to(&self, target: SocketAddr) {
+        *lock(&self.shared.target) = target;
+    }
+
+    /// Changes the rules of a way; what waits on it goes by the new ones.
+    pub fn set(&self, way: Way, change: impl FnOnce(&mut Rules)) {
+        change(&mut lock(&self.shared.rules)[way as usize]);
+        self.shared.changed.notify(usize::MAX);
+    }
+
+    pub fn set_both(&self, change: impl Fn(&mut Rules)) {
+        [Way::To, Way::Back].into_iter().for_each(|way| self.set(way, &change));
+    }
+
+    /// Cut both ways: connections stand and nothing comes through.
+    pub fn cut(&self) {
+        self.set_both(|rules| rules.held = true);
+    }
+
+    /// As if nothing had been; what was held goes on.
+    pub fn heal(&self) {
+        self.shared.refuses.store(false, Ordering::SeqCst);
+        self.set_both(|rules| *rules = Rules::default());
+    }
+
+    /// New connections are reset at once.
+    pub fn refuse(&self, refuses: bool) {
+        self.shared.refuses.store(refuses, Ordering::SeqCst);
+    }
+
+    /// Resets all connections that stand.
+    pub fn reset(&self) {
+        self.shared.resets.fetch_add(1, Ordering::SeqCst);
+        self.shared.changed.notify(usize::MAX);
+    }
+
+    /// Connections so far.
+    pub fn connections(&self) -> u64 {
+        self.shared.connections.load(Ordering::SeqCst)
+    }
+
+    /// Bytes that came through so far.
+    pub fn passed(&self, way: Way) -> u64 {
+        self.shared.passed[way as usize].load(Ordering::SeqCst)
+    }
+}
+
+/// The two ends of a connection, and whether it is to be reset, whoever found that out.
+struct Ends {
+    near: Async<TcpStream>,
+    far: Async<TcpStream>,
+    resets: u64,
+    broken: AtomicBool,
+}
+
+impl Ends {
+    fn is_broken(&self, shared: &Shared) -> bool {
+        self.broken.load(Ordering::SeqCst) || shared.resets.load(Ordering::SeqCst) != self.resets
+    }
+
+    fn breaks(&self, shared: &Shared) {
+        self.broken.store(true, Ordering::SeqCst);
+        shared.changed.notify(usize::MAX);
+    }
+}
+
+/// Has it close with a reset.
+fn reset(stream: &Async<TcpStream>) {
+    let _ = set_socket_linger(stream, Some(Duration::ZERO));
+}
+
+async fn accept(listener: Async<TcpListener>, shared: Arc<Shared>) {
+    loop {
+        let Ok((near, _)) = listener.accept().await else {
+            Timer::after(Duration::from_millis(5)).await;
+            continue;
+        };
+        shared.connections.fetch_add(1, Ordering::SeqCst);
+        if shared.refuses.load(Ordering::SeqCst) {
+            reset(&near);
+            continue;
+        }
+        EDGES.spawn(connection(near, shared.clone())).detach();
+    }
+}
+
+async fn connection(near: Async<TcpStream>, shared: Arc<Shared>) {
+    let resets = shared.resets.load(Ordering::SeqCst);
+    // The first packet is held as all others are.
+    loop {
+        let changed = shared.changed.listen();
+        if shared.resets.load(Ordering::SeqCst) != resets {
+            return reset(&near);
+        }
+        if !lock(&shared.rules)[Way::To as usize].held {
+            break;
+        }
+        changed.await;
+    }
+    let target = *lock(&shared.target);
+    let Ok(far) = Async::<TcpStream>::connect(target).await else { return reset(&near) };
+    let _ = near.get_ref().set_nodelay(true);
+    let _ = far.get_ref().set_nodelay(true);
+    let ends = Arc::new(Ends { near, far, resets, broken: AtomicBool::new(false) });
+    let to = EDGES.spawn(pump(ends.clone(), shared.clone(), Way::To));
+    let back = EDGES.spawn(pump(ends.clone(), shared.clone(), Way::Back));
+    // An orderly end of one way leaves the other open.
+    to.await;
+    back.await;
+    if ends.is_broken(&shared) {
+        reset(&ends.near);
+        reset(&ends.far);
+    }
+}
+
+/// Carries one way of a connection until it ends there, or is to be reset.
+async fn pump(ends: Arc<Ends>, shared: Arc<Shared>, way: Way) {
+    let (from, to) = match way {
+        Way::To => (&ends.near, &ends.far),
+        Way::Back => (&ends.far, &ends.near),
+    };
+    let (mut lane, mut over, mut piece) = (Stream::default(), false, vec![0; PIECE]);
+    let broken = async || loop {
+        let changed = shared.changed.listen();
+        if ends.is_broken(&shared) {
+            break;
+        }
+        changed.await;
+    };
+    loop {
+        let changed = shared.changed.listen();
+        if ends.is_broken(&shared) {
+            return;
+        }
+        let rules = lock(&shared.rules)[way as usize];
+        match lane.next(now(), &rules) {
+            Next::Reset => return ends.breaks(&shared),
+            Next::Pass(bytes) => {
+                let mut sink = to;
+                let written = async { sink.write_all(&bytes).await.is_ok() };
+                let stopped = async {
+                    broken().await;
+                    false
+                };
+                if !or(written, stopped).await {
+                    return ends.breaks(&shared);
+                }
+                shared.passed[way as usize].fetch_add(bytes.len() as u64, Ordering::SeqCst);
+            }
+            Next::Wait(_) if over && lane.is_empty() => {
+                let _ = to.get_ref().shutdown(Shutdown::Write);
+                return;
+            }
+            Next::Wait(at) => {
+                let (reads, mut source) = (!over && lane.has_room(), from);
+                let read =
+                    async { if reads { Some(source.read(&mut piece).await) } else { pending().await } };
+                let woken = async {
+                    or(until(at), changed).await;
+                    None
+                };
+                match or(read, woken).await {
+                    Some(Ok(0)) => over = true,
+                    Some(Ok(count)) => lane.put(now(), &rules, &piece[..count]),
+                    Some(Err(_)) => return ends.breaks(&shared),
+                    None => {}
+                }
+            }
+        }
+    }
+}
+
+async fn forward(socket: Async<UdpSocket>, shared: Arc<Shared>, seed: u64) {
+    let (mut lane, mut datagram) = (Datagrams::new(seed), [0; 2048]);
+    loop {
+        let next = lane.next(now());
+        if let Next::Pass(bytes) = next {
+            let target = *lock(&shared.target);
+            // What can't be sent is lost, as datagrams are.
+            let _ = socket.send_to(&bytes, target).await;
+            shared.passed[Way::To as usize].fetch_add(bytes.len() as u64, Ordering::SeqCst);
+            continue;
+        }
+        let Next::Wait(at) = next else { continue };
+        let read = async { socket.recv_from(&mut datagram).await.ok().map(|(count, _)| count) };
+        let woken = async {
+            until(at).await;
+            None
+        };
+        if let Some(count) = or(read, woken).await {
+            let rules = lock(&shared.rules)[Way::To as usize];
+            lane.put(now(), &rules, &datagram[..count]);
+        }
+    }
+}
+
+/// A span in milliseconds, for rules.
+pub fn ms(ms: f64) -> Span {
+    Span::from_ms(ms)
+}
--- /dev/null
+++ b/crates/hazelgrade-rig/src/group.rs
@@ -0,0 +1,543 @@
+//! A group: nodes as processes, each with an executor and a database of its own, one registry, one control service, and
+//! callers; with an edge on every way between two of them.
+
+use crate::account::{Account, Job, Seen, Trouble};
+use crate::edge::{Edge, Way, at, ms, now};
+use crate::plan::{Disk, Fault, Link, Ways};
+use hazelgrade_config::{Document, Version};
+use hazelgrade_standins::callers::Callers;
+use hazelgrade_standins::documents::{BOOK, Case, READ, document};
+use hazelgrade_standins::executor::{Executor, Work};
+use hazelgrade_standins::node::{Node, Plan};
+use hazelgrade_standins::registry::Registry;
+use hazelgrade_standins::service::Service;
+use hazelgrade_standins::{comes_true, database, free_address, world};
+use rustix::process::Signal;
+use serde_json::Value;
+use std::io;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const WORK: Work = Work { cores: 4, takes: Duration::from_millis(6), calls: true };
+const CALL: Duration = Duration::from_millis(2);
+const TRIAL: &str = "lineage = \"test\"\n[stream.trial]\nspan_ms = 300\nleast_jobs = 8\n";
+const CUT_OFF_MS: f64 = 3000.0;
+/// By how much later than given an answer may be read on a crowded machine.
+const GRACE_MS: f64 = 1000.0;
+/// What must come in the end has come by then, however crowded the machine is.
+const AT_LAST: Duration = Duration::from_secs(40);
+const LOOK_EVERY: Duration = Duration::from_millis(40);
+
+pub struct Member {
+    pub node: Node,
+    pub executor: Executor,
+    pub edges: [Edge; 5],
+    /// A copy of its store, as it was when the version before the last one was published.
+    old: Option<Vec<u8>>,
+    disk: u32,
+    stopped: bool,
+    /// Last seen to run.
+    ran: Instant,
+    running: bool,
+    leaving: bool,
+    callers: Option<Callers>,
+}
+
+pub struct Group {
+    pub folder: TempDir,
+    pub members: Vec<Member>,
+    pub service: Service,
+    pub registry: Registry,
+    pub account: Account,
+    service_stopped: bool,
+    old_counter: Option<Vec<u8>>,
+    /// Documents that were published so far, and the digest of the last.
+    pub published: u64,
+    pub digest: String,
+    looked: Instant,
+    /// Which nodes stand how, of which digest, when the control service was last asked.
+    pub standings: Vec<(String, String)>,
+}
+
+/// A digest as the control service shows it.
+fn shown(document: &Document) -> String {
+    let version = Version { number: 0, digest: document.digest() }.to_string();
+    version.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+/// A document that differs from all others by a use case of its own.
+fn numbered(count: u64, harmful: bool) -> Result<Document, String> {
+    let mark = format!("v{count}");
+    let own: Case = (&mark, 1000, 3000, 1);
+    let read = if harmful { ("read", 2, 10, 1) } else { READ };
+    document(&[read, BOOK, own], 1, "")
+}
+
+impl Member {
+    pub fn edge(&self, link: Link) -> &Edge {
+        &self.edges[link as usize]
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.running && !self.stopped && self.node.check() == Some(true)
+    }
+
+    pub fn jobs(&self) -> usize {
+        self.callers.as_ref().map_or(0, Callers::count)
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.running
+    }
+
+    fn stopped(&mut self, stop: bool) {
+        if self.running && self.node.signal(if stop { "STOP" } else { "CONT" }) {
+            self.stopped = stop;
+        }
+    }
+}
+
+impl Group {
+    /// Starts all processes and waits until each node has the first version as its good one and callers are answered.
+    pub fn start(program: &Path, words: &[&str], nodes: usize, rate: f64) -> Result<Group, String> {
+        Group::begin(program, words, nodes, rate).map_err(|error| error.to_string())?.set_out()
+    }
+
+    fn begin(program: &Path, words: &[&str], nodes: usize, rate: f64) -> io::Result<Group> {
+        let first = numbered(1, false).map_err(io::Error::other)?;
+        let service = Service::start(program, words, "test", &first)?;
+        let (folder, registry) = (tempfile::tempdir()?, Registry::start()?);
+        let mut members = Vec::new();
+        for number in 0..nodes {
+            let executor = Executor::start(WORK)?;
+            let listen = free_address();
+            let edges = [
+                Edge::tcp(listen)?,
+                Edge::tcp(executor.address)?,
+                Edge::tcp(database::start(CALL)?)?,
+                Edge::udp(registry.address, number as u64)?,
+                Edge::tcp(service.address)?,
+            ];
+            let plan = Plan {
+                program: program.into(),
+                words: words.iter().map(|word| (*word).to_owned()).collect(),
+                folder: folder.path().into(),
+                name: format!("n{number}"),
+                listen,
+                executor: edges[Link::Executor as usize].address,
+                registry: edges[Link::Registry as usize].address,
+                database: Some(edges[Link::Database as usize].address),
+                control: vec![edges[Link::Control as usize].address],
+                stream: TRIAL.into(),
+                stop_ms: 5000,
+                log: "off".into(),
+            };
+            let callers = Some(world::callers(edges[Link::Callers as usize].address, rate, &["read"]));
+            members.push(Member {
+                node: plan.start()?,
+                executor,
+                edges,
+                old: None,
+                disk: 0,
+                stopped: false,
+                ran: Instant::now(),
+                running: true,
+                leaving: false,
+                callers,
+            });
+        }
+        let mut account = Account { cut_off: ms(CUT_OFF_MS), grace: ms(GRACE_MS), ..Account::default() };
+        // Until it listens, what callers send is refused.
+        (0..nodes).for_each(|node| account.begins(node, Trouble::Gone, now()));
+        Ok(Group {
+            folder,
+            members,
+            service,
+            registry,
+            account,
+            service_stopped: false,
+            old_counter: None,
+            published: 1,
+            digest: shown(&first),
+            looked: Instant::now(),
+            standings: vec![Default::default(); nodes],
+        })
+    }
+
+    fn set_out(mut self) -> Result<Group, String> {
+        if !self.all_well() {
+            return Err(format!("the group doesn't start: {}", self.service.status()));
+        }
+        Ok(self)
+    }
+
+    /// Waits until each node is ready, has the latest version as its good one, and goes on answering its callers.
+    fn all_well(&mut self) -> bool {
+        let digest = self.digest.clone();
+        let good = self.comes(AT_LAST, |group| {
+            group.standings.iter().all(|(of, standing)| of.ends_with(&digest) && standing == "good")
+                && group.members.iter().all(Member::is_ready)
+        });
+        if good {
+            (0..self.members.len()).for_each(|node| self.account.ends(node, Trouble::Gone, now()));
+        }
+        let before: Vec<usize> = self.members.iter().map(Member::jobs).collect();
+        good && self.comes(AT_LAST, |group| {
+            group.members.iter().zip(&before).all(|(member, before)| member.jobs() >= before + 10)
+        })
+    }
+
+    /// Waits for something, and keeps the account meanwhile; `false` if it doesn't come in time.
+    pub fn comes(&mut self, within: Duration, mut so: impl FnMut(&mut Group) -> bool) -> bool {
+        comes_true(within, || {
+            self.look();
+            so(self)
+        })
+    }
+
+    /// Notes which processes run and who serves by what.
+    pub fn look(&mut self) {
+        for (number, member) in self.members.iter_mut().enumerate() {
+            if !member.running {
+                continue;
+            }
+            let Some(status) = member.node.has_ended() else {
+                member.ran = Instant::now();
+                continue;
+            };
+            member.running = false;
+            self.account.begins(number, Trouble::Gone, at(member.ran));
+            if !member.leaving {
+                self.account.ends.push((number, format!("ended by itself: {status}")));
+            } else if !status.success() {
+                self.account.ends.push((number, format!("left, but {status}")));
+            }
+        }
+        if self.looked.elapsed() < LOOK_EVERY || !self.service.is_running() || self.service_stopped {
+            return;
+        }
+        self.looked = Instant::now();
+        let status = self.service.status();
+        for (number, member) in self.members.iter().enumerate() {
+            let nodes = status["nodes"].as_array();
+            let Some(node) =
+                nodes.and_then(|nodes| nodes.iter().find(|node| node["name"] == member.node.plan.name))
+            else {
+                continue;
+            };
+            let word = |field: &str| node[field].as_str().unwrap_or_default().to_owned();
+            self.standings[number] = (word("of"), word("standing"));
+            let has = word("has");
+            if let Some((version, digest)) = has.split_once(' ')
+                && let Ok(version) = version.parse()
+            {
+                let standing = if word("of") == has { word("standing") } else { String::new() };
+                let (digest, at) = (digest.to_owned(), now());
+                self.account.saw(Seen {
+                    node: number,
+                    at,
+                    disk: member.disk,
+                    number: version,
+                    digest,
+                    standing,
+                });
+            }
+        }
+    }
+
+    fn held(&mut self, node: usize, link: Link, trouble: Trouble) {
+        if link == Link::Callers {
+            self.account.begins(node, trouble, now());
+        }
+    }
+
+    /// Brings a fault about. What can't be, as its process is not there, is left out.
+    pub fn cause(&mut self, fault: Fault) -> io::Result<()> {
+        match fault {
+            Fault::Cut { node, link, ways } => {
+                self.held(node, link, Trouble::CallersHeld);
+                let edge = self.members[node].edge(link);
+                let ways: &[Way] = match ways {
+                    Ways::Both => &[Way::To, Way::Back],
+                    Ways::To => &[Way::To],
+                    Ways::Back => &[Way::Back],
+                };
+                ways.iter().for_each(|way| edge.set(*way, |rules| rules.held = true));
+            }
+            Fault::Delay { node, link, ms: late } => {
+                self.held(node, link, Trouble::CallersHeld);
+                let edge = self.members[node].edge(link);
+                edge.set_both(|rules| rules.delay = ms(f64::from(late)));
+            }
+            Fault::Rate { node, link, bytes_per_s } => {
+                self.held(node, link, Trouble::CallersHeld);
+                let edge = self.members[node].edge(link);
+                edge.set_both(|rules| rules.rate = Some(f64::from(bytes_per_s)));
+            }
+            Fault::Reset { node, link } => {
+                self.held(node, link, Trouble::CallersReset);
+                self.members[node].edge(link).reset();
+                // What was sent until now; a span that lasts is another's.
+                if link == Link::Callers {
+                    self.account.ends(node, Trouble::CallersReset, now());
+                }
+            }
+            Fault::ResetAfter { node, link, bytes } => {
+                self.held(node, link, Trouble::CallersReset);
+                let edge = self.members[node].edge(link);
+                edge.set(Way::Back, |rules| rules.reset_after = Some(u64::from(bytes)));
+            }
+            Fault::Refuse { node, link } => {
+                self.held(node, link, Trouble::CallersReset);
+                self.members[node].edge(link).refuse(true);
+            }
+            Fault::Garble { node, lost, doubled, overtaken } => {
+                let part = |of: u32| f64::from(of) / 100.0;
+                self.members[node].edge(Link::Registry).set(Way::To, |rules| {
+                    (rules.lost, rules.doubled, rules.overtaken) =
+                        (part(lost), part(doubled), part(overtaken));
+                });
+            }
+            Fault::Heal { node, link } => {
+                self.members[node].edge(link).heal();
+                if link == Link::Callers {
+                    self.account.ends(node, Trouble::CallersHeld, now());
+                    self.account.ends(node, Trouble::CallersReset, now());
+                }
+            }
+            Fault::Stop { node } => {
+                self.account.begins(node, Trouble::Stopped, now());
+                self.members[node].stopped(true);
+            }
+            Fault::Wake { node } => {
+                self.members[node].stopped(false);
+                self.account.ends(node, Trouble::Stopped, now());
+            }
+            Fault::Kill { node } => {
+                self.account.begins(node, Trouble::Killed, now());
+                let member = &mut self.members[node];
+                member.node.kill();
+                (member.running, member.stopped) = (false, false);
+                self.account.ends(node, Trouble::Stopped, now());
+            }
+            Fault::Term { node } => {
+                let member = &mut self.members[node];
+                member.leaving = member.running && member.node.signal("TERM");
+            }
+            Fault::Hup { node } => {
+                self.members[node].node.signal("HUP");
+            }
+            Fault::Start { node, disk } => self.start_node(node, disk)?,
+            Fault::KillControl => self.service.kill(),
+            Fault::StopControl => self.service_stopped = self.service.signal(Signal::STOP),
+            Fault::WakeControl => {
+                self.service.signal(Signal::CONT);
+                self.service_stopped = false;
+            }
+            Fault::StartControl { disk } => self.start_control(disk)?,
+            Fault::Publish { harmful } => self.publish(harmful)?,
+            Fault::Stall { ms } => self.stall(Duration::from_millis(u64::from(ms))),
+        }
+        Ok(())
+    }
+
+    fn start_node(&mut self, node: usize, disk: Disk) -> io::Result<()> {
+        self.look();
+        let member = &mut self.members[node];
+        if member.running {
+            if !member.leaving {
+                return Ok(());
+            }
+            // It is to take its own place once it has left.
+            let _ = comes_true(AT_LAST, || member.node.has_ended().is_some());
+            self.look();
+        }
+        let member = &mut self.members[node];
+        let store = member.node.plan.store();
+        match disk {
+            Disk::Own => {}
+            Disk::Old if member.old.is_none() => {}
+            Disk::Old => {
+                std::fs::write(&store, member.old.as_deref().unwrap_or_default())?;
+                member.disk += 1;
+            }
+            Disk::Empty => {
+                std::fs::remove_file(&store)
+                    .or_else(|error| if store.exists() { Err(error) } else { Ok(()) })?;
+                member.disk += 1;
+            }
+        }
+        // Runs of the one before are gone with it.
+        member.executor.restart();
+        // Until it is seen to be ready what callers send it is refused.
+        self.account.begins(node, Trouble::Gone, now());
+        member.node.start_again()?;
+        (member.running, member.leaving, member.stopped, member.ran) = (true, false, false, Instant::now());
+        self.account.ends(node, Trouble::Killed, now());
+        let began = Instant::now();
+        let member = &self.members[node];
+        if comes_true(AT_LAST, || member.node.check().is_some()) {
+            self.account.ends(node, Trouble::Gone, now());
+        } else {
+            self.account.missing.push(format!("node {node} does not listen after {:?}", began.elapsed()));
+        }
+        Ok(())
+    }
+
+    fn start_control(&mut self, disk: Disk) -> io::Result<()> {
+        let counter = self.service.counter();
+        self.service.kill();
+        match disk {
+            Disk::Own => {}
+            Disk::Old => {
+                if let Some(old) = &self.old_counter {
+                    std::fs::write(&counter, old)?;
+                    self.account.numbers_anew = true;
+                }
+            }
+            Disk::Empty => {
+                std::fs::remove_file(&counter)
+                    .or_else(|error| if counter.exists() { Err(error) } else { Ok(()) })?;
+                self.account.numbers_anew = true;
+            }
+        }
+        self.service_stopped = false;
+        self.service.start_again()
+    }
+
+    /// Publishes another document, and keeps what disks hold as yesterday's.
+    pub fn publish(&mut self, harmful: bool) -> io::Result<()> {
+        for member in &mut self.members {
+            // As a crash would leave it: not while it is being written.
+            let stop = member.running && !member.stopped;
+            if stop {
+                member.stopped(true);
+            }
+            member.old = std::fs::read(member.node.plan.store()).ok().or(member.old.take());
+            if stop {
+                member.stopped(false);
+            }
+        }
+        self.old_counter = std::fs::read(self.service.counter()).ok().or(self.old_counter.take());
+        self.published += 1;
+        let document = numbered(self.published, harmful).map_err(io::Error::other)?;
+        self.digest = shown(&document);
+        if harmful {
+            self.account.harmful.push(self.digest.clone());
+        }
+        self.service.publish(&document.to_toml())
+    }
+
+    /// All processes stand still, as on a machine that stalls.
+    fn stall(&mut self, lasting: Duration) {
+        let running: Vec<usize> = (0..self.members.len())
+            .filter(|node| self.members[*node].running && !self.members[*node].stopped)
+            .collect();
+        for node in &running {
+            self.account.begins(*node, Trouble::Stopped, now());
+            self.members[*node].stopped(true);
+        }
+        let service = !self.service_stopped && self.service.signal(Signal::STOP);
+        std::thread::sleep(lasting);
+        if service {
+            self.service.signal(Signal::CONT);
+        }
+        for node in &running {
+            self.members[*node].stopped(false);
+            self.account.ends(*node, Trouble::Stopped, now());
+        }
+    }
+
+    /// Ends every fault, sees that all is well again, and has all leave; gives the account.
+    pub fn finish(mut self) -> Account {
+        let failed = |error: io::Error| error.to_string();
+        for node in 0..self.members.len() {
+            for link in [Link::Callers, Link::Executor, Link::Database, Link::Registry, Link::Control] {
+                let _ = self.cause(Fault::Heal { node, link });
+            }
+            if self.members[node].stopped {
+                let _ = self.cause(Fault::Wake { node });
+            }
+            self.look();
+            if (!self.members[node].running || self.members[node].leaving)
+                && let Err(why) = self.cause(Fault::Start { node, disk: Disk::Own }).map_err(failed)
+            {
+                self.account.missing.push(format!("node {node} can't be started: {why}"));
+            }
+        }
+        if self.service_stopped {
+            let _ = self.cause(Fault::WakeControl);
+        }
+        if !self.service.is_running()
+            && let Err(why) = self.start_control(Disk::Own).map_err(failed)
+        {
+            self.account.missing.push(format!("the control service can't be started: {why}"));
+        }
+        // Of what was published while things failed a node may have gone back; a fresh one is taken by all.
+        if let Err(why) = self.publish(false).map_err(failed) {
+            self.account.missing.push(format!("nothing can be published: {why}"));
+        }
+        if !self.all_well() {
+            let stand: Vec<String> = (0..self.members.len())
+                .map(|node| {
+                    let member = &self.members[node];
+                    let (of, standing) = &self.standings[node];
+                    format!(
+                        "n{node} running {} stopped {} ready {} {of} {standing}, {} jobs",
+                        member.running,
+                        member.stopped,
+                        member.is_ready(),
+                        member.jobs()
+                    )
+                })
+                .collect();
+            self.account.missing.push(format!("{} expected: {}", self.digest, stand.join("; ")));
+        }
+        self.probe();
+        for (number, member) in self.members.iter_mut().enumerate() {
+            let Some(callers) = member.callers.take() else { continue };
+            let (told, twice) = callers.stop();
+            self.account.answered_twice += twice;
+            self.account.jobs.extend(told.into_iter().map(|told| Job {
+                node: number,
+                id: told.id,
+                sent: at(told.sent),
+                after: ms(told.after.as_secs_f64() * 1000.0),
+                fate: told.fate,
+            }));
+        }
+        for member in &mut self.members {
+            member.leaving = member.node.signal("TERM");
+        }
+        if !self.comes(AT_LAST, |group| group.members.iter().all(|member| !member.running)) {
+            self.account.missing.push("a node does not leave".into());
+        }
+        self.account.runs = self.members.iter().map(|member| member.executor.runs()).collect();
+        self.account
+    }
+
+    /// What a node serves by is seen where it takes effect: jobs of the latest document's own use case are served, those of
+    /// one that does harm are not.
+    fn probe(&mut self) {
+        let latest = format!("v{}", self.published);
+        for (number, member) in self.members.iter().enumerate() {
+            if !member.running {
+                continue;
+            }
+            let callers = world::callers(member.edge(Link::Callers).address, 50.0, &[&latest]);
+            comes_true(AT_LAST, || callers.count() >= 8);
+            let (told, _) = callers.stop();
+            let served =
+                told.iter().filter(|told| told.fate == hazelgrade_standins::callers::Fate::Satisfied).count();
+            if served == 0 {
+                self.account.missing.push(format!("node {number} does not serve {latest}: {told:?}"));
+            }
+        }
+    }
+
+    /// What the control service says of all.
+    pub fn status(&self) -> Value {
+        self.service.status()
+    }
+}
--- /dev/null
+++ b/crates/hazelgrade-rig/src/plan.rs
@@ -0,0 +1,264 @@
+//! Fault plans: which fault comes when, by what has happened and not by the clock. Drawn by seed, written and read as
+//! TOML, so that what failed can be played again.
+
+use hazelgrade::chance::Chance;
+use serde::{Deserialize, Serialize};
+
+/// What has to have happened, since the step before, for a step to be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cue {
+    Now,
+    /// So many more answers reached callers, over the whole group.
+    Answers(u64),
+    /// So many nodes have acknowledged the version that was published last.
+    Acknowledged(usize),
+    /// A node has the version that was published last on trial.
+    OnTrial(usize),
+    /// A node says that it drains, or has ended.
+    Draining(usize),
+    Ended(usize),
+    /// A node is ready, as a check says.
+    Ready(usize),
+}
+
+/// What of a node an edge leads to or from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Link {
+    Callers,
+    Executor,
+    Database,
+    Registry,
+    Control,
+}
+
+/// `To` the process that listens, as seen from the edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ways {
+    Both,
+    To,
+    Back,
+}
+
+/// What a process finds on the disk when it is started again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Disk {
+    Own,
+    /// As it was when the version before the last was good: yesterday's.
+    Old,
+    Empty,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    Cut {
+        node: usize,
+        link: Link,
+        ways: Ways,
+    },
+    Delay {
+        node: usize,
+        link: Link,
+        ms: u32,
+    },
+    Rate {
+        node: usize,
+        link: Link,
+        bytes_per_s: u32,
+    },
+    Reset {
+        node: usize,
+        link: Link,
+    },
+    ResetAfter {
+        node: usize,
+        link: Link,
+        bytes: u32,
+    },
+    Refuse {
+        node: usize,
+        link: Link,
+    },
+    /// Datagrams to the registry: parts of a hundred.
+    Garble {
+        node: usize,
+        lost: u32,
+        doubled: u32,
+        overtaken: u32,
+    },
+    Heal {
+        node: usize,
+        link: Link,
+    },
+    Stop {
+        node: usize,
+    },
+    Wake {
+        node: usize,
+    },
+    Kill {
+        node: usize,
+    },
+    Term {
+        node: usize,
+    },
+    Hup {
+        node: usize,
+    },
+    Start {
+        node: usize,
+        disk: Disk,
+    },
+    KillControl,
+    StopControl,
+    WakeControl,
+    StartControl {
+        disk: Disk,
+    },
+    Publish {
+        harmful: bool,
+    },
+    /// The whole machine stands still, control service and nodes together.
+    Stall {
+        ms: u32,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    pub cue: Cue,
+    pub fault: Fault,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    pub seed: u64,
+    pub nodes: usize,
+    /// Jobs a second to each node.
+    pub rate: f64,
+    #[serde(default)]
+    pub step: Vec<Step>,
+}
+
+impl Plan {
+    pub fn to_toml(&self) -> String {
+        toml::to_string(self).unwrap_or_else(|error| format!("# {error}\n"))
+    }
+
+    /// Reads a plan; says where it is wrong.
+    pub fn read(text: &str) -> Result<Plan, String> {
+        let plan: Plan = toml::from_str(text).map_err(|error| error.to_string())?;
+        let named = plan.step.iter().filter_map(|step| step.fault.node()).chain(plan.step.iter().filter_map(
+            |step| match step.cue {
+                Cue::OnTrial(node) | Cue::Draining(node) | Cue::Ended(node) | Cue::Ready(node) => Some(node),
+                _ => None,
+            },
+        ));
+        match named.max() {
+            Some(most) if most >= plan.nodes => {
+                Err(format!("node {most}: there are {} nodes, from 0", plan.nodes))
+            }
+            _ if plan.nodes == 0 => Err("nodes: expected one at least".into()),
+            _ if !(plan.rate > 0.0 && plan.rate <= 1000.0) => Err("rate: expected above 0, to 1000".into()),
+            _ => Ok(plan),
+        }
+    }
+
+    /// A plan of about so many faults, each with what ends it somewhere after.
+    pub fn draw(seed: u64, nodes: usize, faults: usize) -> Plan {
+        let mut chance = Chance::new(seed);
+        let mut pick = |of: usize| ((chance.draw() * of as f64) as usize).min(of.saturating_sub(1));
+        let mut step: Vec<Step> = Vec::new();
+        let mut open: Vec<Fault> = Vec::new();
+        // A node that was told to leave, killed or stopped is left alone until it is started or woken.
+        let mut out: Vec<usize> = Vec::new();
+        let mut control_out = false;
+        for _ in 0..faults {
+            if !open.is_empty() && pick(3) == 0 {
+                let end = open.remove(pick(open.len()));
+                out.retain(|node| {
+                    !(matches!(end, Fault::Wake { .. } | Fault::Start { .. }) && end.node() == Some(*node))
+                });
+                control_out &= !matches!(end, Fault::WakeControl | Fault::StartControl { .. });
+                step.push(Step { cue: Cue::Answers(10 + pick(60) as u64), fault: end });
+            }
+            let node = pick(nodes);
+            let link =
+                [Link::Callers, Link::Executor, Link::Database, Link::Registry, Link::Control][pick(5)];
+            let ways = [Ways::Both, Ways::To, Ways::Back][pick(3)];
+            let disk = [Disk::Own, Disk::Own, Disk::Old, Disk::Empty][pick(4)];
+            let heal = Fault::Heal { node, link };
+            let (fault, end) = match pick(16) {
+                0 | 1 => (Fault::Cut { node, link, ways }, Some(heal)),
+                2 => (Fault::Delay { node, link, ms: 1 + pick(80) as u32 }, Some(heal)),
+                3 => (Fault::Rate { node, link, bytes_per_s: 20_000 + 1000 * pick(100) as u32 }, Some(heal)),
+                4 => (Fault::Reset { node, link }, None),
+                5 => (Fault::ResetAfter { node, link, bytes: 1 + pick(4000) as u32 }, Some(heal)),
+                6 => (Fault::Refuse { node, link }, Some(heal)),
+                7 => {
+                    let (lost, doubled, overtaken) = (pick(60) as u32, pick(30) as u32, pick(30) as u32);
+                    let heal = Fault::Heal { node, link: Link::Registry };
+                    (Fault::Garble { node, lost, doubled, overtaken }, Some(heal))
+                }
+                8 if !out.contains(&node) => (Fault::Stop { node }, Some(Fault::Wake { node })),
+                9 if !out.contains(&node) => (Fault::Kill { node }, Some(Fault::Start { node, disk })),
+                10 if !out.contains(&node) => {
+                    (Fault::Term { node }, Some(Fault::Start { node, disk: Disk::Own }))
+                }
+                11 => (Fault::Hup { node }, None),
+                12 if !control_out => {
+                    // Of a counter that went back nodes are told by themselves; one that is lost likewise.
+                    (Fault::KillControl, Some(Fault::StartControl { disk }))
+                }
+                13 if !control_out => (Fault::StopControl, Some(Fault::WakeControl)),
+                14 => (Fault::Stall { ms: 200 + pick(600) as u32 }, None),
+                _ => (Fault::Publish { harmful: pick(4) == 0 }, None),
+            };
+            match fault {
+                Fault::Stop { node } | Fault::Kill { node } | Fault::Term { node } => out.push(node),
+                Fault::KillControl | Fault::StopControl => control_out = true,
+                _ => {}
+            }
+            let cue = match pick(6) {
+                0 => Cue::Now,
+                1 if !control_out => Cue::Acknowledged(1 + pick(nodes)),
+                _ => Cue::Answers(5 + pick(80) as u64),
+            };
+            step.push(Step { cue, fault });
+            open.extend(end);
+        }
+        Plan { seed, nodes, rate: 40.0, step }
+    }
+}
+
+impl Fault {
+    /// The node that it is about, if it is about one.
+    pub fn node(&self) -> Option<usize> {
+        match *self {
+            Fault::Cut { node, .. }
+            | Fault::Delay { node, .. }
+            | Fault::Rate { node, .. }
+            | Fault::Reset { node, .. }
+            | Fault::ResetAfter { node, .. }
+            | Fault::Refuse { node, .. }
+            | Fault::Garble { node, .. }
+            | Fault::Heal { node, .. }
+            | Fault::Stop { node }
+            | Fault::Wake { node }
+            | Fault::Kill { node }
+            | Fault::Term { node }
+            | Fault::Hup { node }
+            | Fault::Start { node, .. } => Some(node),
+            Fault::KillControl
+            | Fault::StopControl
+            | Fault::WakeControl
+            | Fault::StartControl { .. }
+            | Fault::Publish { .. }
+            | Fault::Stall { .. } => None,
+        }
+    }
+}
--- a/crates/hazelgrade-server/tests/streaming/control.rs
+++ b/crates/hazelgrade-server/tests/streaming/control.rs
@@ -3,80 +3,39 @@
 use super::*;
 use hazelgrade_standins::comes_true;
 use hazelgrade_standins::documents::{BOOK, READ};
+use hazelgrade_standins::service::Service;
 use hazelgrade_stream::service;
-use serde_json::Value;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 
-struct Service {
-    child: Child,
-    address: SocketAddr,
-    documents: TempDir,
+fn service(document: &Document) -> Service {
+    Service::start(Path::new(env!("CARGO_BIN_EXE_hazelgrade")), &[], "test", document).expect("it starts")
 }
 
-fn publish(folder: &Path, document: &Document) {
-    // In one step, as operators are told to.
-    let next = folder.join("next");
-    std::fs::write(&next, document.to_toml()).expect("a file");
-    std::fs::rename(&next, folder.join(service::DOCUMENT)).expect("a file");
+fn publish(service: &Service, document: &Document) {
+    service.publish(&document.to_toml()).expect("a file");
 }
 
-impl Service {
-    fn start(document: &Document) -> Service {
-        let documents = tempfile::tempdir().expect("a folder");
-        publish(documents.path(), document);
-        let address = free_address();
-        Service { child: Service::spawn(documents.path(), address), address, documents }
-    }
-
-    fn spawn(documents: &Path, address: SocketAddr) -> Child {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_hazelgrade"));
-        command.args(["control", "--lineage", "test", "--log", "error", "--documents"]).arg(documents);
-        command.args(["--listen", &address.to_string()]).stdin(Stdio::null());
-        command.spawn().expect("it starts")
-    }
-
-    fn stop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    fn start_again(&mut self) {
-        self.stop();
-        self.child = Service::spawn(self.documents.path(), self.address);
-    }
-
-    fn status(&self) -> Value {
-        service::status(self.address, Duration::from_secs(2)).unwrap_or_default()
-    }
-
-    /// Waits until the one node stands so with a version of this number.
-    fn node_stands(&self, standing: &str, number: u64) -> bool {
-        comes_true(Duration::from_secs(10), || {
-            let node = self.status()["nodes"][0].clone();
-            let of = node["of"].as_str().unwrap_or_default().to_owned();
-            node["standing"] == standing && of.starts_with(&format!("{number} "))
-        })
-    }
-}
-
-impl Drop for Service {
-    fn drop(&mut self) {
-        self.stop();
-    }
+/// Waits until the one node stands so with a version of this number.
+fn node_stands(service: &Service, standing: &str, number: u64) -> bool {
+    comes_true(Duration::from_secs(10), || {
+        let node = service.status()["nodes"][0].clone();
+        let of = node["of"].as_str().unwrap_or_default().to_owned();
+        node["standing"] == standing && of.starts_with(&format!("{number} "))
+    })
 }
 
 #[test]
 fn what_is_in_the_folder_is_published_and_what_is_wrong_there_is_told_and_not_published() {
     let world = World::new(QUICK);
-    let service = Service::start(&doc(&[READ], ""));
+    let service = service(&doc(&[READ], ""));
     let mut plan = world.plan(SHORT_TRIAL);
     plan.control = vec![service.address];
     let node = plan.start().expect("it starts");
-    assert!(service.node_stands("good", 1), "{}", service.status());
+    assert!(node_stands(&service, "good", 1), "{}", service.status());
     assert!(node.becomes(true));
-    publish(service.documents.path(), &doc(&[READ, BOOK], ""));
-    assert!(service.node_stands("good", 2), "{}", service.status());
+    publish(&service, &doc(&[READ, BOOK], ""));
+    assert!(node_stands(&service, "good", 2), "{}", service.status());
     std::fs::write(service.documents.path().join(service::DOCUMENT), "[use_case.read]\ngoal_ms = \"x\"\n")
         .expect("a file");
     assert!(comes_true(Duration::from_secs(5), || {
@@ -97,42 +56,39 @@
 #[test]
 fn a_control_service_that_restarts_or_loses_its_counter_goes_on_where_nodes_are() {
     let world = World::new(QUICK);
-    let mut service = Service::start(&doc(&[READ], ""));
+    let mut service = service(&doc(&[READ], ""));
     let mut plan = world.plan(SHORT_TRIAL);
     plan.control = vec![service.address];
     let _node = plan.start().expect("it starts");
-    assert!(service.node_stands("good", 1), "{}", service.status());
+    assert!(node_stands(&service, "good", 1), "{}", service.status());
     for number in 2..=3 {
-        publish(
-            service.documents.path(),
-            &doc(&[READ], &format!("[promises]\nanswer_slack_ms = {number}\n")),
-        );
-        assert!(service.node_stands("good", number), "{}", service.status());
+        publish(&service, &doc(&[READ], &format!("[promises]\nanswer_slack_ms = {number}\n")));
+        assert!(node_stands(&service, "good", number), "{}", service.status());
     }
-    service.start_again();
-    assert!(service.node_stands("good", 3), "the same version: {}", service.status());
-    service.stop();
+    service.start_again().expect("it starts");
+    assert!(node_stands(&service, "good", 3), "the same version: {}", service.status());
+    service.kill();
     std::fs::remove_file(service.documents.path().join(service::COUNTER)).expect("a file");
-    publish(service.documents.path(), &doc(&[READ, BOOK], ""));
-    service.start_again();
-    assert!(service.node_stands("good", 4), "past what the node knows: {}", service.status());
+    publish(&service, &doc(&[READ, BOOK], ""));
+    service.start_again().expect("it starts");
+    assert!(node_stands(&service, "good", 4), "past what the node knows: {}", service.status());
 }
 
 #[test]
 fn of_two_control_services_that_disagree_a_node_stays_with_what_it_took_last() {
     let world = World::new(QUICK);
-    let (mut one, other) = (Service::start(&doc(&[READ], "")), Service::start(&doc(&[BOOK], "")));
+    let (mut one, other) = (service(&doc(&[READ], "")), service(&doc(&[BOOK], "")));
     // The other has published already: its node has taken version 1 from it.
     let second = World::new(QUICK);
     let mut plan = second.plan(SHORT_TRIAL);
     (plan.control, plan.name) = (vec![other.address], "n2".into());
     let _n2 = plan.start().expect("it starts");
-    assert!(other.node_stands("good", 1), "{}", other.status());
+    assert!(node_stands(&other, "good", 1), "{}", other.status());
     let mut plan = world.plan(SHORT_TRIAL);
     plan.control = vec![one.address, other.address];
     let node = plan.start().expect("it starts");
-    assert!(one.node_stands("good", 1), "{}", one.status());
-    one.stop();
+    assert!(node_stands(&one, "good", 1), "{}", one.status());
+    one.kill();
     let refused = comes_true(Duration::from_secs(10), || {
         let nodes = other.status()["nodes"].clone();
         let n1 = nodes.as_array().and_then(|nodes| nodes.iter().find(|node| node["name"] == "n1")).cloned();
--- a/crates/hazelgrade-server/tests/streaming/main.rs
+++ b/crates/hazelgrade-server/tests/streaming/main.rs
@@ -13,10 +13,8 @@
 use hazelgrade_standins::registry::Registry;
 use hazelgrade_standins::{free_address, world};
 use hazelgrade_stream::protocol::{Refusal, Said};
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use tempfile::TempDir;
 
 /// All that a node needs round it.
 struct World {
--- a/crates/hazelgrade-standins/src/lib.rs
+++ b/crates/hazelgrade-standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod registry;
 pub mod rules;
+pub mod service;
 pub mod world;
 
 use std::net::SocketAddr;
--- a/crates/hazelgrade-standins/src/node.rs
+++ b/crates/hazelgrade-standins/src/node.rs
@@ -1,6 +1,7 @@
 //! A node as a process, with its files.
 
 use crate::{SOON, comes_true};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -27,6 +28,12 @@
     pub log: String,
 }
 
+/// Sends a signal to a child of ours that was not waited for, so its id is still its own.
+pub fn send(child: &Child, signal: Signal) -> bool {
+    let id = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+    id.is_some_and(|id| kill_process(id, signal).is_ok())
+}
+
 pub struct Node {
     pub plan: Plan,
     child: Child,
@@ -87,8 +94,19 @@
 
 impl Node {
     pub fn signal(&self, name: &str) -> bool {
-        let id = self.child.id().to_string();
-        Command::new("kill").args([&format!("-{name}"), &id]).status().is_ok_and(|status| status.success())
+        let signal = match name {
+            "TERM" => Signal::TERM,
+            "HUP" => Signal::HUP,
+            "STOP" => Signal::STOP,
+            "CONT" => Signal::CONT,
+            _ => Signal::KILL,
+        };
+        send(&self.child, signal)
+    }
+
+    /// How it ended, if it has; without waiting.
+    pub fn has_ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
     }
 
     /// Killed outright.
