--- a/crates/hazelgrade-rig/src/account.rs
+++ b/crates/hazelgrade-rig/src/account.rs
@@ -12,6 +12,9 @@
 /// A lost job on its way to a process that is about to end may have been sent so long before the end was seen.
 const CROSSING_MS: f64 = 1000.0;
 
+/// So long before it was seen to be good a version may have been on trial.
+const TRIAL_MS: f64 = 3000.0;
+
 /// What was done to a node that excuses something.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -25,6 +28,8 @@
     CallersReset,
     /// Its callers are cut off from it or held up: lost connections and lateness are the edge's doing.
     CallersHeld,
+    /// What it stands on is cut off or slow: it excuses nothing but that a version can't be judged by its service.
+    Hampered,
 }
 
 #[derive(Clone, Debug)]
@@ -191,7 +196,7 @@
                 );
                 say("one document a number", what);
             }
-            if seen.standing == "good" && self.harmful.contains(&seen.digest) {
+            if seen.standing == "good" && self.harmful.contains(&seen.digest) && !self.unjudged(seen) {
                 say(
                     "no harm stays",
                     format!("node {} took {} {} as good", seen.node, seen.number, seen.digest),
@@ -207,6 +212,14 @@
         }
     }
 
+    /// Whether anything was done to the node while the version was on trial: with few jobs, or none that fare well
+    /// before, service proves nothing.
+    fn unjudged(&self, seen: &Seen) -> bool {
+        let from = seen.at - Span::from_ms(TRIAL_MS);
+        let of_node = self.spells.iter().filter(|spell| spell.node == seen.node && spell.from <= seen.at);
+        of_node.into_iter().any(|spell| spell.to.is_none_or(|to| to >= from))
+    }
+
     /// The part of a node's jobs, sent in this time, that were satisfied within `goal`; none if it had none.
     pub fn part_served(&self, node: usize, from: Time, to: Time, goal: Span) -> Option<f64> {
         let sent =
--- a/crates/hazelgrade-rig/src/edge.rs
+++ b/crates/hazelgrade-rig/src/edge.rs
@@ -133,6 +133,11 @@
         self.set_both(|rules| *rules = Rules::default());
     }
 
+    /// Anything but a plain way.
+    pub fn is_faulty(&self) -> bool {
+        self.shared.refuses.load(Ordering::SeqCst) || *lock(&self.shared.rules) != [Rules::default(); 2]
+    }
+
     /// New connections are reset at once.
     pub fn refuse(&self, refuses: bool) {
         self.shared.refuses.store(refuses, Ordering::SeqCst);
--- a/crates/hazelgrade-rig/src/group.rs
+++ b/crates/hazelgrade-rig/src/group.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
-const WORK: Work = Work { cores: 4, takes: Duration::from_millis(6), calls: true };
+const WORK: Work = Work { cores: 4, takes: Duration::from_millis(16), calls: true };
 const CALL: Duration = Duration::from_millis(2);
 const TRIAL: &str = "lineage = \"test\"\n[stream.trial]\nspan_ms = 300\nleast_jobs = 8\n";
 const CUT_OFF_MS: f64 = 3000.0;
@@ -247,8 +247,10 @@
     }
 
     fn held(&mut self, node: usize, link: Link, trouble: Trouble) {
-        if link == Link::Callers {
-            self.account.begins(node, trouble, now());
+        match link {
+            Link::Callers => self.account.begins(node, trouble, now()),
+            Link::Executor | Link::Database => self.account.begins(node, Trouble::Hampered, now()),
+            Link::Registry | Link::Control => {}
         }
     }
 
@@ -278,9 +280,12 @@
             Fault::Reset { node, link } => {
                 self.held(node, link, Trouble::CallersReset);
                 self.members[node].edge(link).reset();
-                // What was sent until now; a span that lasts is another's.
-                if link == Link::Callers {
-                    self.account.ends(node, Trouble::CallersReset, now());
+                // A fault that lasts beside it goes on to excuse what it does.
+                let lasts = self.members[node].edge(link).is_faulty();
+                match link {
+                    _ if lasts => {}
+                    Link::Callers => self.account.ends(node, Trouble::CallersReset, now()),
+                    _ => self.account.ends(node, Trouble::Hampered, now()),
                 }
             }
             Fault::ResetAfter { node, link, bytes } => {
@@ -305,6 +310,10 @@
                     self.account.ends(node, Trouble::CallersHeld, now());
                     self.account.ends(node, Trouble::CallersReset, now());
                 }
+                let below = [Link::Executor, Link::Database];
+                if !below.iter().any(|link| self.members[node].edge(*link).is_faulty()) {
+                    self.account.ends(node, Trouble::Hampered, now());
+                }
             }
             Fault::Stop { node } => {
                 self.account.begins(node, Trouble::Stopped, now());
--- /dev/null
+++ b/crates/hazelgrade-rig/tests/pure.rs
@@ -0,0 +1,252 @@
+//! What decides in the rig, without processes: a way's order and timing, plans, the shrinker, and the checkers, each with
+//! a history that breaks its rule.
+
+use hazelgrade::chance::Chance;
+use hazelgrade::time::{Span, Time};
+use hazelgrade_rig::account::{Account, Job, Seen, Trouble};
+use hazelgrade_rig::lane::{Datagrams, Next, Rules, Stream};
+use hazelgrade_rig::plan::{Cue, Fault, Plan, Step};
+use hazelgrade_rig::shrink::shrink;
+use hazelgrade_standins::callers::Fate;
+use quickcheck::{Gen, QuickCheck};
+use std::collections::BTreeMap;
+
+fn at(ms: f64) -> Time {
+    Time::from_ms(ms)
+}
+
+fn ms(ms: f64) -> Span {
+    Span::from_ms(ms)
+}
+
+/// Whatever the rules are and however they change, all bytes come through in order, none before its delay or faster than
+/// the rate; held, none; and a reset comes after exactly so many.
+#[test]
+fn a_stream_keeps_every_byte_in_order_under_any_rules() {
+    fn keeps(seed: u64) -> Result<(), String> {
+        let mut chance = Chance::new(seed);
+        let (mut lane, mut rules, mut now) = (Stream::default(), Rules::default(), 0.0);
+        let (mut sent, mut got, mut paced) = (Vec::new(), Vec::new(), (0.0, 0usize));
+        let resets_at = (chance.draw() < 0.3).then(|| (chance.draw() * 3000.0) as u64);
+        for _ in 0..400 {
+            now += chance.draw() * 20.0;
+            if chance.draw() < 0.1 {
+                rules.held = chance.draw() < 0.3;
+                rules.delay = ms(chance.draw() * 30.0);
+                rules.rate = (chance.draw() < 0.5).then(|| 1000.0 + chance.draw() * 100_000.0);
+                rules.reset_after = resets_at;
+                paced = (now, 0);
+            }
+            if chance.draw() < 0.4 && lane.has_room() {
+                let bytes: Vec<u8> =
+                    (0..1 + (chance.draw() * 300.0) as usize).map(|n| (sent.len() + n) as u8).collect();
+                lane.put(at(now), &rules, &bytes);
+                sent.extend(bytes);
+            }
+            loop {
+                match lane.next(at(now), &rules) {
+                    Next::Pass(bytes) => {
+                        if rules.held {
+                            return Err("passed while held".into());
+                        }
+                        paced.1 += bytes.len();
+                        got.extend(bytes);
+                    }
+                    Next::Reset => {
+                        let after = resets_at.ok_or("reset without an order")?;
+                        return if got.len() as u64 >= after {
+                            Ok(())
+                        } else {
+                            Err("reset too early".into())
+                        };
+                    }
+                    Next::Wait(Some(due)) if due <= at(now) => return Err("waits for what is over".into()),
+                    Next::Wait(_) => break,
+                }
+            }
+            // A piece of ten milliseconds may have passed just before.
+            let most = rules.rate.map_or(f64::INFINITY, |rate| rate * (now - paced.0 + 21.0) / 1000.0 + 2.0);
+            if paced.1 as f64 > most {
+                return Err(format!("{} bytes in {} ms, {most} at most", paced.1, now - paced.0));
+            }
+        }
+        (rules, now) = (Rules::default(), now + 10_000.0);
+        while let Next::Pass(bytes) = lane.next(at(now), &rules) {
+            got.extend(bytes);
+        }
+        if got == sent { Ok(()) } else { Err(format!("{} of {} bytes", got.len(), sent.len())) }
+    }
+    let fixed = Gen::from_size_and_seed(100, 20_261_201);
+    QuickCheck::new().rng(fixed).tests(300).quickcheck(keeps as fn(u64) -> Result<(), String>);
+}
+
+#[test]
+fn a_stream_passes_exactly_as_many_bytes_as_its_reset_allows() {
+    let rules = Rules { reset_after: Some(5), ..Rules::default() };
+    let mut lane = Stream::default();
+    lane.put(at(0.0), &rules, b"0123456789");
+    assert_eq!(lane.next(at(0.0), &rules), Next::Pass(b"01234".to_vec()));
+    assert_eq!(lane.next(at(0.0), &rules), Next::Reset);
+}
+
+#[test]
+fn datagrams_are_lost_doubled_and_overtaken_as_often_as_is_asked() {
+    let rules = Rules { lost: 0.3, doubled: 0.2, overtaken: 0.1, ..Rules::default() };
+    let mut lane = Datagrams::new(1);
+    let mut got = Vec::new();
+    for number in 0..1000u32 {
+        lane.put(at(f64::from(number)), &rules, &number.to_be_bytes());
+        while let Next::Pass(bytes) = lane.next(at(f64::from(number))) {
+            got.push(u32::from_be_bytes(bytes.try_into().expect("four")));
+        }
+    }
+    let twice = got.iter().filter(|one| got.iter().filter(|other| other == one).count() > 1).count() / 2;
+    let late = got.windows(2).filter(|pair| pair[0] > pair[1]).count();
+    let lost = 1000 - (got.len() - twice);
+    assert!((250..350).contains(&lost), "{lost} lost");
+    assert!((100..180).contains(&twice), "{twice} doubled");
+    assert!((40..140).contains(&late), "{late} overtaken");
+}
+
+#[test]
+fn plans_are_the_same_for_a_seed_and_come_back_from_what_is_written() {
+    for seed in 0..200 {
+        let plan = Plan::draw(seed, 5, 14);
+        assert_eq!(plan, Plan::draw(seed, 5, 14));
+        assert_eq!(Plan::read(&plan.to_toml()), Ok(plan));
+    }
+    assert_ne!(Plan::draw(1, 5, 14).step, Plan::draw(2, 5, 14).step);
+    let wrong = |text: &str| Plan::read(text).expect_err("it is wrong");
+    assert!(
+        wrong("seed = 1\nnodes = 2\nrate = 9.0\n[[step]]\ncue = \"now\"\nfault = { kill = { node = 2 } }\n")
+            .contains("node 2")
+    );
+    assert!(
+        wrong("seed = 1\nnodes = 2\nrate = 9.0\n[[step]]\ncue = \"soon\"\nfault = \"kill_control\"\n")
+            .contains("soon")
+    );
+    assert!(wrong("seed = 1\nnodes = 0\nrate = 9.0\n").contains("nodes"));
+    assert!(wrong("seed = 1\nnodes = 1\nrate = 0.0\n").contains("rate"));
+}
+
+#[test]
+fn shrinking_leaves_just_the_steps_that_fail_together() {
+    let plan = Plan::draw(7, 5, 20);
+    let (one, other) = (plan.step[3], plan.step[plan.step.len() - 2]);
+    let needs = |plan: &Plan| plan.step.contains(&one) && plan.step.contains(&other);
+    let least = shrink(&plan, 1000, needs);
+    assert_eq!(least.step, vec![one, other]);
+    // With few plays it says what it has, which still fails.
+    assert!(needs(&shrink(&plan, 3, needs)));
+    let step = Step { cue: Cue::Now, fault: Fault::KillControl };
+    assert_eq!(shrink(&Plan { step: vec![step], ..plan }, 9, |_| false).step.len(), 1);
+}
+
+fn job(node: usize, id: &str, sent: f64, after: f64, fate: Fate) -> Job {
+    Job { node, id: id.into(), sent: at(sent), after: ms(after), fate }
+}
+
+fn account(jobs: Vec<Job>) -> Account {
+    Account {
+        cut_off: ms(3000.0),
+        grace: ms(100.0),
+        jobs,
+        runs: vec![BTreeMap::new(); 2],
+        ..Account::default()
+    }
+}
+
+fn rules(account: &Account) -> Vec<&'static str> {
+    account.breaks().into_iter().map(|broken| broken.rule).collect()
+}
+
+#[test]
+fn lost_and_late_jobs_are_breaks_unless_something_done_to_that_node_then_excuses_them() {
+    let lost = || account(vec![job(0, "a", 10_000.0, 800.0, Fate::Lost)]);
+    assert_eq!(rules(&lost()), ["no job lost"]);
+    for (trouble, node, from, to, excused) in [
+        (Trouble::Killed, 0, 10_200.0, Some(10_500.0), true),
+        (Trouble::Killed, 1, 10_200.0, Some(10_500.0), false),
+        (Trouble::Killed, 0, 2000.0, Some(9000.0), false),
+        (Trouble::Killed, 0, 12_000.0, None, false),
+        (Trouble::CallersReset, 0, 9000.0, None, true),
+        (Trouble::CallersHeld, 0, 9000.0, Some(11_000.0), true),
+        (Trouble::Stopped, 0, 9000.0, Some(11_000.0), false),
+        (Trouble::Gone, 0, 9000.0, None, true),
+    ] {
+        let mut account = lost();
+        account.begins(node, trouble, at(from));
+        to.into_iter().for_each(|to| account.ends(node, trouble, at(to)));
+        assert_eq!(rules(&account).is_empty(), excused, "{trouble:?} of {node} from {from} to {to:?}");
+    }
+    // What ran is not refused by a node that has left.
+    let mut ran = lost();
+    ran.begins(0, Trouble::Gone, at(9000.0));
+    ran.runs[0].insert("a".into(), 1);
+    assert_eq!(rules(&ran), ["no job lost"]);
+    let late = || account(vec![job(0, "a", 10_000.0, 3200.0, Fate::Satisfied)]);
+    assert_eq!(rules(&late()), ["no job late"]);
+    let mut stopped = late();
+    stopped.begins(0, Trouble::Stopped, at(11_000.0));
+    stopped.ends(0, Trouble::Stopped, at(12_000.0));
+    assert!(rules(&stopped).is_empty());
+    assert!(rules(&account(vec![job(0, "a", 0.0, 3050.0, Fate::Bounced)])).is_empty());
+    assert!(rules(&account(vec![job(0, "a", 0.0, 9000.0, Fate::Crossed)])).is_empty());
+}
+
+#[test]
+fn effects_and_answers_come_once_over_the_whole_group() {
+    let mut twice = account(vec![]);
+    twice.runs[0].insert("a".into(), 2);
+    assert_eq!(rules(&twice), ["no effect twice"]);
+    let mut elsewhere = account(vec![]);
+    elsewhere.runs = vec![BTreeMap::from([("a".to_owned(), 1)]); 2];
+    assert_eq!(rules(&elsewhere), ["no effect twice"]);
+    assert_eq!(rules(&Account { answered_twice: 1, ..account(vec![]) }), ["one answer"]);
+    assert_eq!(rules(&Account { ends: vec![(0, "ended".into())], ..account(vec![]) }), ["safe drain"]);
+    assert_eq!(rules(&Account { missing: vec!["x".into()], ..account(vec![]) }), ["all is well again"]);
+}
+
+#[test]
+fn versions_have_one_document_each_go_on_and_do_no_harm_for_good() {
+    let seen = |node, disk, number, digest: &str, standing: &str| Seen {
+        node,
+        at: at(0.0),
+        disk,
+        number,
+        digest: digest.into(),
+        standing: standing.into(),
+    };
+    let of = |seen: Vec<Seen>| {
+        let mut account = Account { harmful: vec!["(bad)".into()], ..account(vec![]) };
+        seen.into_iter().for_each(|one| account.saw(one));
+        account
+    };
+    let conflict = || vec![seen(0, 0, 5, "(a)", "good"), seen(1, 0, 5, "(b)", "on trial")];
+    assert_eq!(rules(&of(conflict())), ["one document a number"]);
+    assert!(rules(&Account { numbers_anew: true, ..of(conflict()) }).is_empty());
+    assert_eq!(rules(&of(vec![seen(0, 0, 5, "(bad)", "good")])), ["no harm stays"]);
+    assert!(rules(&of(vec![seen(0, 0, 5, "(bad)", "on trial")])).is_empty());
+    let mut hampered = of(vec![seen(0, 0, 5, "(bad)", "good")]);
+    hampered.begins(0, Trouble::Hampered, at(0.0));
+    assert!(rules(&hampered).is_empty(), "there was nothing to judge it by");
+    let back = |disk, standing: &str| of(vec![seen(0, 0, 5, "(a)", standing), seen(0, disk, 4, "(b)", "")]);
+    assert_eq!(rules(&back(0, "good")), ["versions go on"]);
+    assert!(rules(&back(1, "good")).is_empty(), "it was given an old disk");
+    assert!(rules(&back(0, "on trial")).is_empty(), "its trial failed");
+}
+
+#[test]
+fn the_part_served_counts_what_was_sent_then_and_answered_in_its_goal_time() {
+    let jobs = vec![
+        job(0, "a", 100.0, 50.0, Fate::Satisfied),
+        job(0, "b", 200.0, 900.0, Fate::Satisfied),
+        job(0, "c", 300.0, 10.0, Fate::Bounced),
+        job(0, "d", 400.0, 10.0, Fate::Crossed),
+        job(0, "e", 2000.0, 10.0, Fate::Bounced),
+        job(1, "f", 100.0, 10.0, Fate::Bounced),
+    ];
+    let part = account(jobs).part_served(0, at(0.0), at(1000.0), ms(500.0));
+    assert_eq!(part, Some(1.0 / 3.0));
+    assert_eq!(account(vec![]).part_served(0, at(0.0), at(1.0), ms(1.0)), None);
+}
--- a/crates/hazelgrade-standins/src/callers.rs
+++ b/crates/hazelgrade-standins/src/callers.rs
@@ -135,7 +135,10 @@
                     let Ok(stream) = stream.try_clone() else { continue };
                     std::thread::spawn(move || {
                         read(stream, &open, &record, &draining);
-                        Instant::now()
+                        let ended = Instant::now();
+                        // With as many open as may be nothing is written that would find out.
+                        draining.store(true, Ordering::Relaxed);
+                        ended
                     })
                 };
                 send(plan, place, &stream, &open, record, &draining, &mut count);
