--- a/crates/hazelgrade-demo/src/main.rs
+++ b/crates/hazelgrade-demo/src/main.rs
@@ -18,7 +18,7 @@
   hazelgrade-demo trouble [--seed N] [--minutes M] [--nodes N] [--faults N] [--repeat N] [--plan FILE]
                                   many nodes with faults between them, drawn by seed or from a file
   hazelgrade-demo measure [WHAT]  measures streaming: all, or effect, bytes, reconnects, start or latency;
-                                  or identity
+                                  or identity, or trouble
 
 scenes:
   streaming    a control service, two nodes, and callers; a good version, a wrong one and a harmful one
@@ -44,6 +44,7 @@
         ["trouble", ..] => trouble::play(&words[1..]),
         ["measure"] => measure::streaming::all(),
         ["measure", "identity"] => measure::identity::all(),
+        ["measure", "trouble"] => measure::trouble::all(),
         ["measure", what] => measure::streaming::one(what),
         _ => {
             print!("{USAGE}");
--- a/crates/hazelgrade-demo/src/measure/mod.rs
+++ b/crates/hazelgrade-demo/src/measure/mod.rs
@@ -1,2 +1,3 @@
 pub mod identity;
 pub mod streaming;
+pub mod trouble;
--- a/crates/hazelgrade-rig/src/group.rs
+++ b/crates/hazelgrade-rig/src/group.rs
@@ -574,6 +574,11 @@
         }
     }
 
+    /// The digest of the document that the group was started with, whole.
+    pub fn first_digest(&self) -> String {
+        numbered(1, false).map(|document| document.digest().to_string()).unwrap_or_default()
+    }
+
     /// What the control service says of all.
     pub fn status(&self) -> Value {
         self.service.status()
--- a/crates/hazelgrade-rig/src/lib.rs
+++ b/crates/hazelgrade-rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod edge;
 pub mod group;
 pub mod lane;
+pub mod light;
 pub mod plan;
 pub mod play;
 pub mod shrink;
--- a/crates/hazelgrade-server/tests/group/control.rs
+++ b/crates/hazelgrade-server/tests/group/control.rs
@@ -1,10 +1,12 @@
 //! The control service in trouble, or cut off from some: killed, paused, with yesterday's counter, twice.
 
 use super::*;
-use hazelgrade_rig::edge::Way;
+use hazelgrade_rig::edge::{Edge, Way};
+use hazelgrade_rig::light::Lights;
 use hazelgrade_rig::plan::{Disk, Link, Ways};
 use hazelgrade_standins::documents::{BOOK, READ, document};
 use hazelgrade_standins::service::Service;
+use std::time::Instant;
 
 #[test]
 fn killed_between_keeping_a_number_and_offering_it_the_service_offers_it_when_it_is_back() {
@@ -135,3 +137,45 @@
     assert!(group.comes(SOON, |group| count(&stand(group, "good")) == NODES), "{}", group.status());
     kept(&group.finish());
 }
+
+/// Twenty nodes as processes and 980 light ones lose the service and come back to the one that is started anew: spread over
+/// seconds, all of them, and nobody takes up again what it has.
+#[test]
+fn a_thousand_subscribers_come_back_to_a_service_that_was_killed() {
+    const REAL: usize = 20;
+    const LIGHT: usize = 980;
+    let _alone = alone();
+    let mut group = Group::start(program(), &[], REAL, 4.0).expect("it starts");
+    let edge = Edge::tcp(group.service.address).expect("a port");
+    let lights = Lights::start(LIGHT, edge.address);
+    let connected = |group: &mut Group| {
+        let nodes = group.status()["nodes"].as_array().cloned().unwrap_or_default();
+        nodes.iter().filter(|node| node["connected"] == true && node["standing"] == "good").count()
+    };
+    assert!(group.comes(SOON, |group| connected(group) == REAL + LIGHT), "{}", connected(&mut group));
+    cause(&mut group, Fault::KillControl);
+    edge.reset();
+    std::thread::sleep(Duration::from_millis(500));
+    let before = edge.connections();
+    cause(&mut group, Fault::StartControl { disk: Disk::Own });
+    let mut most = 0;
+    let mut last = (Instant::now(), before);
+    let all = group.comes(SOON, |group| {
+        if last.0.elapsed() >= Duration::from_millis(100) {
+            most = most.max(edge.connections() - last.1);
+            last = (Instant::now(), edge.connections());
+        }
+        connected(group) == REAL + LIGHT
+    });
+    assert!(all, "{} are back", connected(&mut group));
+    // Of a thousand no more than a third come at one moment.
+    assert!(most < LIGHT as u64 / 3, "{most} came within 0.1 s");
+    let digest = group.first_digest();
+    assert_eq!(lights.serve(&digest), (LIGHT, 0));
+    // And the next version reaches all of them.
+    cause(&mut group, Fault::Publish { harmful: false });
+    assert!(
+        group.comes(SOON, |group| connected(group) == REAL + LIGHT && count(&stand(group, "good")) == REAL)
+    );
+    kept(&group.finish());
+}
