One way for a client's connection to end; a repeat read late finds what it repeats

Connections: `Clients::serve` polled `closed` before `read`, so a message that the system held as an idle close was asked for went with a reset, and only `broke_rules` half-closed. Now the reader alone ends a connection, once there is nothing to read and nothing is owed: half-close, read and drop for a bounded time, close. A connection counts from its accept. Those that ask for checks go after those that do nothing.

Repeats: an entry was forgotten with its window (`Table::done`), so a repeat that reached the machine within it and lay unread past it was run again; a repeat could name one that only shares, by the order of ids; a job under the id of one that is remembered replaced it and waited for itself. Kept for the cut-off longer, the first that runs is named, an id that is over is answered from what is kept; indexed by key and by time in place of two walks of the table for each job.

Signals are caught before the configuration is read; an address that the process before still holds is waited for; a registry that can't be reached no longer refuses the start (`connect` of its socket); connections below are bounded by the descriptors; commands before the first WELCOME no longer stay in doubt (`Notices::welcome`).

--- a/crates/hazelgrade-server/src/program/command.rs
+++ b/crates/hazelgrade-server/src/program/command.rs
@@ -114,6 +114,7 @@
     };
     match word.as_str() {
         "serve" => {
+            let signals = serve::signals()?;
             let (deployment, path) = configured()?;
             let operator = files.operator()?.unwrap_or_default();
             if operator.for_tests.is_some() && std::env::var_os("PROXY_CONFIG").is_some() {
@@ -122,7 +123,7 @@
                 );
             }
             let (log, handle) = logging::start(level);
-            let left_clean = serve::serve(deployment, path, operator, (handle, level));
+            let left_clean = serve::serve(deployment, path, operator, (handle, level), signals);
             drop(log);
             Ok(if left_clean? { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
--- a/crates/hazelgrade-server/src/program/configuration.rs
+++ b/crates/hazelgrade-server/src/program/configuration.rs
@@ -11,8 +11,6 @@
 const DESCRIPTORS_KEPT: usize = 16;
 /// Of the memory, kept results take this part at most; the rest is for jobs in hand and connections.
 const RESULTS_PART: f64 = 0.125;
-/// With few descriptors, clients get at least this part of them.
-const CLIENTS_PART: usize = 4;
 
 /// Where the others are: what a reload takes in.
 #[derive(Clone, Copy, Debug)]
@@ -89,10 +87,14 @@
 }
 
 impl Deployment {
+    /// Connections below that may be open at once: with few descriptors, half of what is not kept back.
+    pub fn connections_below(&self) -> usize {
+        database::MOST.min(self.sockets.saturating_sub(DESCRIPTORS_KEPT) / 2).max(1)
+    }
+
     /// Client connections that may be open at once.
     pub fn connections(&self) -> usize {
-        let rest = self.sockets.saturating_sub(DESCRIPTORS_KEPT + database::MOST);
-        rest.max(self.sockets / CLIENTS_PART)
+        self.sockets.saturating_sub(DESCRIPTORS_KEPT + self.connections_below()).max(1)
     }
 
     /// What kept results of numbered jobs may take.
--- a/crates/hazelgrade-server/src/program/reload.rs
+++ b/crates/hazelgrade-server/src/program/reload.rs
@@ -68,8 +68,10 @@
             registry: streamed.registry.unwrap_or(file.registry),
             database: streamed.database.filter(|_| self.calls_below).or(file.database),
         };
-        // Connecting a datagram socket fails at once or not at all; it goes first, as nothing has changed yet.
-        self.registry.move_to(addresses.registry).map_err(|error| format!("field registry: {error}"))?;
+        // It goes first, as nothing has changed yet.
+        if !self.registry.move_to(addresses.registry) {
+            return Err("field registry: expected an address of the same family as at the start".into());
+        }
         self.file.set(file);
         self.streamed.set(streamed);
         self.link.move_to(addresses.executor);
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -21,17 +21,19 @@
 use crate::transport::registry::Registry;
 use crate::transport::tls::Tls;
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer, block_on};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use futures_lite::future::{BoxedLocal, or};
+use futures_lite::future::{BoxedLocal, or, poll_once};
 use hazelgrade_config::Operator;
 use hazelgrade_net::bell::Bell;
 use hazelgrade_stream::follow::Follow;
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::level_filters::LevelFilter;
 
 /// Reports get lost; so many go out in the three seconds after which an instance is taken off the list.
@@ -39,6 +41,9 @@
 /// The database closes or forgets connections that lie idle, some early; opening one costs little.
 const DATABASE_IDLE: Duration = Duration::from_secs(1);
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
+/// A process that is being ended still holds its address; one that is held for longer is another's.
+const ADDRESS_FREE_WITHIN: Duration = Duration::from_secs(3);
+const LISTEN_AGAIN_AFTER: Duration = Duration::from_millis(10);
 
 /// Serves until the notice to leave, then leaves; each SIGHUP until the end has the file at `path` read again. `Ok(true)` if every answer was written.
 ///
@@ -49,6 +54,7 @@
     path: PathBuf,
     operator: Operator,
     log: (Level, LevelFilter),
+    mut signals: Signals,
 ) -> Result<bool, String> {
     let Operator { stream: streamed, identity: identified, budgets: budgeted, tls: encrypted, for_tests } =
         operator;
@@ -59,12 +65,13 @@
         deployment.within(sockets, memory_mb);
         deployment.without_use_cases();
     }
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    let mut signals = signals.map_err(|error| format!("signals: {error}"))?;
     let (control, site) = hazelgrade_site::instance(&deployment.settings, deployment.seed)
         .map_err(|fault| format!("settings: {}", fault.0))?;
-    let listener = listener::bind(deployment.listen)
-        .map_err(|error| format!("field listen: {}: {error}", deployment.listen))?;
+    let mut reads_again = false;
+    let Some(listener) = listen(deployment.listen, &mut signals, &mut reads_again)? else {
+        tracing::info!("told to leave before it listened");
+        return Ok(true);
+    };
     let addresses = deployment.addresses;
     let registry = Registry::new(addresses.registry)
         .map_err(|error| format!("field registry: {}: {error}", addresses.registry))?;
@@ -79,8 +86,9 @@
         tracing::warn!(?for_tests, "this node is to fail, for tests");
         rounds.clock.skew(for_tests.clock_off_ms, for_tests.clock_rate);
     }
+    let most_below = deployment.connections_below();
     let calls = Rc::new(Calls::new(
-        addresses.database.map(|address| Database::new(address, DATABASE_IDLE)),
+        addresses.database.map(|address| Database::new(address, most_below, DATABASE_IDLE)),
         hand.clone(),
         tasks.clone(),
     ));
@@ -174,23 +182,24 @@
     let accepting = tasks.spawn(accepting);
 
     let (notice, noticed) = (Bell::default(), Cell::new(None));
+    let read_again = || {
+        reload.reload();
+        match encrypted.as_ref().map(|encrypted| tls::load(encrypted, &front.tls, &parts)) {
+            Some(Ok(())) => tracing::info!("certificates read again"),
+            Some(Err(fault)) => tracing::error!(fault, "the new certificates are wrong and change nothing"),
+            None => {}
+        }
+        if let Some(path) = &*identity_file.borrow() {
+            identity::reload(path, &parts);
+        }
+    };
     let signalled = async {
+        if reads_again {
+            read_again();
+        }
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => {
-                    reload.reload();
-                    let loaded = encrypted.as_ref().map(|encrypted| tls::load(encrypted, &front.tls, &parts));
-                    match loaded {
-                        Some(Ok(())) => tracing::info!("certificates read again"),
-                        Some(Err(fault)) => {
-                            tracing::error!(fault, "the new certificates are wrong and change nothing")
-                        }
-                        None => {}
-                    }
-                    if let Some(path) = &*identity_file.borrow() {
-                        identity::reload(path, &parts);
-                    }
-                }
+                Ok(Signal::Hup) => read_again(),
                 _ if noticed.get().is_none() => {
                     // If the process stood still, the notice came while it did: at the worst, as soon as it was
                     // last seen to run.
@@ -215,7 +224,36 @@
         rounds.beat_now();
         Ok(drain::leave(&front, accepting, listener, noticed, deployment.stop).await)
     };
-    async_io::block_on(tasks.run(or(served, signalled)))
+    block_on(tasks.run(or(served, signalled)))
+}
+
+/// Catches the signals from here on. It comes before anything that may wait: uncaught, each ends the process.
+pub fn signals() -> Result<Signals, String> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| format!("signals: {error}"))
+}
+
+/// Listens, unless the notice to leave came first. The process before this one may still hold the address for a moment.
+fn listen(
+    address: SocketAddr,
+    signals: &mut Signals,
+    reads_again: &mut bool,
+) -> Result<Option<Async<TcpListener>>, String> {
+    let by = Instant::now() + ADDRESS_FREE_WITHIN;
+    loop {
+        while let Some(Some(Ok(signal))) = block_on(poll_once(signals.next())) {
+            if signal != Signal::Hup {
+                return Ok(None);
+            }
+            *reads_again = true;
+        }
+        match listener::bind(address) {
+            Ok(listener) => return Ok(Some(listener)),
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < by => {
+                std::thread::sleep(LISTEN_AGAIN_AFTER);
+            }
+            Err(error) => return Err(format!("field listen: {address}: {error}")),
+        }
+    }
 }
 
 /// Reports to the registry, now and then and at each change of health.
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -31,6 +31,7 @@
 impl Front {
     /// Starts to serve a connection.
     pub fn start(self: &Rc<Self>, stream: Async<TcpStream>) {
+        self.clients.comes();
         self.tasks.spawn(self.clone().serve(stream)).detach();
     }
 
@@ -41,7 +42,7 @@
             Ok(accepted) => accepted,
             Err(end) => {
                 tracing::debug!(?end, "no handshake");
-                return;
+                return self.clients.came();
             }
         };
         let caller = Caller { from, known: RefCell::new(Known { token: None, certificate }) };
@@ -87,6 +88,7 @@
                 client.put(&jsonrpc::encode_hello(call, hello));
             }
             Ok(Incoming::Check(call)) => {
+                client.checks();
                 client.put(&jsonrpc::encode_check(call, rounds.good(), rounds.said()));
             }
             Err(wrong) => match wrong.call.filter(|_| wrong.not_here) {
@@ -148,11 +150,19 @@
         if over || asked.job.reached > now + Span::from_ms(AHEAD_MS) {
             return self.refuse(client, &jsonrpc::wrong_time(call));
         }
-        client.open(call, id.clone());
         let key = asked.mark.take().filter(|_| numbered).map(|mark| (asked.job.use_case, mark));
+        if let Some((of, result)) = parts.repeats.kept(&id) {
+            // It is over under this id: as long as that is known, it is not run again, and of another nothing was run.
+            let bounced = Answer::Bounced { not_elsewhere: false, back_in: Span::ZERO };
+            let known = || result.map_or(Answer::WrittenOff, Answer::Satisfied);
+            let answer = if key.as_ref() == Some(&of) { known() } else { bounced };
+            client.put(&jsonrpc::encode(call, &answer, parts.rounds.said()));
+            return client.misused();
+        }
+        client.open(call, id.clone());
         asked.job.reached = reached;
         asked.job.known = client.is_proved();
-        asked.job.repeats = key.and_then(|key| parts.repeats.arrived(&id, key, asked.job.reached));
+        asked.job.repeats = key.and_then(|key| parts.repeats.arrived(&id, key, reached, cut_off));
         if let Some(seat) = parts.rounds.seat() {
             let site = parts.site.borrow();
             let customer = site.customers.get(asked.job.customer).and_then(Option::as_deref);
--- a/crates/hazelgrade-server/src/routing/notices.rs
+++ b/crates/hazelgrade-server/src/routing/notices.rs
@@ -85,10 +85,13 @@
             if fate == "new" && up_for < was_up + Span::from_ms(since.as_secs_f64() * 1000.0) {
                 tracing::warn!("the executor started anew: what ran there is over");
                 self.hand.send_all(|| Turn::RunsOver);
-            } else {
-                self.link.send(&executor::encode(&Command::Gauges { ticket: ALL_HEARD }));
+                self.unproved.set(None);
             }
         }
+        // With a link that ended commands may have been lost, also with one that ended before the executor was up.
+        if self.unproved.get().is_some() {
+            self.link.send(&executor::encode(&Command::Gauges { ticket: ALL_HEARD }));
+        }
     }
 }
 
--- a/crates/hazelgrade-server/src/routing/repeats.rs
+++ b/crates/hazelgrade-server/src/routing/repeats.rs
@@ -5,30 +5,50 @@
 use hazelgrade::desk::JobId;
 use hazelgrade::time::{Span, Time};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Use case and mark.
-type Key = (usize, String);
+pub type Key = (usize, String);
 
 struct Entry {
     holder: JobId,
     until: Time,
 }
 
-/// A job with a mark, while it is in hand or its entry lives.
+/// A job with a mark, while it is in hand or a repeat may still name it.
 struct Marked {
     key: Key,
+    /// A repeat that came before the window was over may lie unread for so long.
+    unread_for: Span,
     in_hand: bool,
+    /// It waits for the result of another, and runs never.
+    shares: bool,
     kept_until: Option<Time>,
     result: Option<Option<Body>>,
     /// Repeats that wait for its result.
     waiting: Vec<JobId>,
 }
 
+impl Marked {
+    /// When it is gone, once it is out of hand.
+    fn gone_at(&self) -> Option<Time> {
+        self.kept_until.map(|until| until + self.unread_for)
+    }
+
+    fn bytes(&self) -> usize {
+        self.result.as_ref().and_then(Option::as_ref).map_or(0, |body| body.len())
+    }
+}
+
 #[derive(Default)]
 struct Table {
     entries: BTreeMap<Key, Entry>,
     jobs: BTreeMap<JobId, Marked>,
+    /// Those in hand, in the order that they came.
+    in_hand: BTreeMap<Key, Vec<JobId>>,
+    /// Those out of hand by when they are gone, and of these those with a result.
+    gone: BTreeSet<(Time, JobId)>,
+    with_result: BTreeSet<(Time, JobId)>,
     result_bytes: usize,
     /// Results that are kept take this many bytes at most; past it, the one that runs out first goes.
     most_bytes: usize,
@@ -37,13 +57,33 @@
 pub struct Repeats(RefCell<Table>);
 
 impl Table {
-    fn forget(&mut self, id: &JobId) {
-        if let Some(marked) = self.jobs.remove(id) {
-            let bytes = marked.result.flatten().map_or(0, |body| body.len());
+    /// Out of hand: until when it is known, and what its result takes.
+    fn keep(&mut self, id: &JobId, at: Time) {
+        let bytes = self.jobs.get(id).map_or(0, Marked::bytes);
+        self.gone.insert((at, id.clone()));
+        if bytes > 0 {
+            self.with_result.insert((at, id.clone()));
+            self.result_bytes += bytes;
+        }
+    }
+
+    fn drop_result(&mut self, at: Time, id: &JobId) {
+        if self.with_result.remove(&(at, id.clone())) {
+            let bytes = self.jobs.get(id).map_or(0, Marked::bytes);
             self.result_bytes = self.result_bytes.saturating_sub(bytes);
-            if self.entries.get(&marked.key).is_some_and(|entry| entry.holder == *id) {
-                self.entries.remove(&marked.key);
-            }
+        }
+    }
+
+    /// One that is out of hand.
+    fn forget(&mut self, id: &JobId) {
+        if let Some(at) = self.jobs.get(id).and_then(Marked::gone_at) {
+            self.drop_result(at, id);
+            self.gone.remove(&(at, id.clone()));
+        }
+        if let Some(marked) = self.jobs.remove(id)
+            && self.entries.get(&marked.key).is_some_and(|entry| entry.holder == *id)
+        {
+            self.entries.remove(&marked.key);
         }
     }
 }
@@ -53,20 +93,37 @@
         Repeats(RefCell::new(Table { most_bytes, ..Table::default() }))
     }
 
-    /// A job with a mark arrives: gives the one that it repeats, if that is known.
-    pub fn arrived(&self, id: &JobId, key: Key, reached: Time) -> Option<JobId> {
+    /// A job that is out of hand and known by this id: what it was, and the result that is kept of it.
+    pub fn kept(&self, id: &JobId) -> Option<(Key, Option<Body>)> {
+        let table = self.0.borrow();
+        let marked = table.jobs.get(id).filter(|marked| !marked.in_hand)?;
+        Some((marked.key.clone(), marked.result.clone().flatten()))
+    }
+
+    /// A job with a mark arrives, under an id that is known of no other: gives the one that it repeats, if that is known.
+    pub fn arrived(&self, id: &JobId, key: Key, reached: Time, unread_for: Span) -> Option<JobId> {
         let mut table = self.0.borrow_mut();
         let kept = table.entries.get(&key).filter(|entry| entry.until > reached);
-        let in_hand = || table.jobs.iter().find(|(_, job)| job.in_hand && job.key == key).map(|(id, _)| id);
+        let runs = |id: &&JobId| table.jobs.get(*id).is_some_and(|job| !job.shares);
+        let in_hand = || table.in_hand.get(&key).and_then(|ids| ids.iter().find(runs));
         let prior = kept.map(|entry| &entry.holder).or_else(in_hand).cloned();
-        let marked = Marked { key, in_hand: true, kept_until: None, result: None, waiting: Vec::new() };
+        table.in_hand.entry(key.clone()).or_default().push(id.clone());
+        let marked = Marked {
+            key,
+            unread_for,
+            in_hand: true,
+            shares: false,
+            kept_until: None,
+            result: None,
+            waiting: Vec::new(),
+        };
         table.jobs.insert(id.clone(), marked);
         prior
     }
 
     pub fn remember(&self, id: &JobId, now: Time, span: Span) {
         let mut table = self.0.borrow_mut();
-        let Some(marked) = table.jobs.get_mut(id) else { return };
+        let Some(marked) = table.jobs.get_mut(id).filter(|marked| marked.in_hand) else { return };
         marked.kept_until = Some(now + span);
         let key = marked.key.clone();
         table.entries.insert(key, Entry { holder: id.clone(), until: now + span });
@@ -90,6 +147,9 @@
     /// `Some(None)` where there is none to be had.
     pub fn share(&self, id: &JobId, prior: &JobId) -> Option<Option<Body>> {
         let mut table = self.0.borrow_mut();
+        if let Some(marked) = table.jobs.get_mut(id) {
+            marked.shares = true;
+        }
         let Some(marked) = table.jobs.get_mut(prior) else { return Some(None) };
         if marked.result.is_none() && marked.in_hand {
             marked.waiting.push(id.clone());
@@ -101,23 +161,29 @@
     /// A job leaves the hand, with its result if it has one: gives the repeats that wait for it.
     pub fn done(&self, id: &JobId, now: Time, result: Option<Body>) -> Vec<JobId> {
         let mut table = self.0.borrow_mut();
-        let Some(marked) = table.jobs.get_mut(id) else { return Vec::new() };
+        let Some(marked) = table.jobs.get_mut(id).filter(|marked| marked.in_hand) else { return Vec::new() };
         let waiting = std::mem::take(&mut marked.waiting);
-        (marked.in_hand, marked.result) = (false, Some(result.clone()));
-        table.result_bytes += result.map_or(0, |body| body.len());
-        let over: Vec<JobId> = {
-            let over = |job: &Marked| !job.in_hand && job.kept_until.is_none_or(|until| until <= now);
-            table.jobs.iter().filter(|(_, job)| over(job)).map(|(id, _)| id.clone()).collect()
-        };
-        over.iter().for_each(|id| table.forget(id));
-        while table.result_bytes > table.most_bytes {
-            let kept = table.jobs.iter().filter(|(_, job)| matches!(job.result, Some(Some(_))));
-            let Some(first) = kept.min_by_key(|(_, job)| job.kept_until).map(|(id, _)| id.clone()) else {
-                break;
-            };
-            if let Some(body) = table.jobs.get_mut(&first).and_then(|job| job.result.replace(None)).flatten()
-            {
-                table.result_bytes = table.result_bytes.saturating_sub(body.len());
+        (marked.in_hand, marked.result) = (false, Some(result));
+        let (key, gone_at) = (marked.key.clone(), marked.gone_at());
+        if let Some(ids) = table.in_hand.get_mut(&key) {
+            ids.retain(|in_hand| in_hand != id);
+            if ids.is_empty() {
+                table.in_hand.remove(&key);
+            }
+        }
+        match gone_at {
+            Some(at) => table.keep(id, at),
+            None => table.forget(id),
+        }
+        while let Some((_, id)) = table.gone.first().filter(|(at, _)| *at <= now).cloned() {
+            table.forget(&id);
+        }
+        while let Some((at, id)) =
+            table.with_result.first().filter(|_| table.result_bytes > table.most_bytes).cloned()
+        {
+            table.drop_result(at, &id);
+            if let Some(marked) = table.jobs.get_mut(&id) {
+                marked.result = Some(None);
             }
         }
         waiting
--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -17,10 +17,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Connections that take calls. As many calls as this have one each; more share them.
-pub const CONNECTIONS: usize = 16;
-/// Those that take none any more but still carry some, counted in: past this the oldest of these is closed.
-pub const MOST: usize = 2 * CONNECTIONS;
+/// Connections at most, those counted in that take no calls any more but still carry some: past this the oldest of these
+/// is closed. Half of them take calls: as many calls as that have one each; more share them.
+pub const MOST: usize = 32;
 /// Room for the calls of all jobs at 4 KiB each.
 const OUTBOX_BYTES: usize = 1024 * 1024;
 /// A reply that has begun is there by then, or never: peers write replies whole.
@@ -48,6 +47,7 @@
 
 pub struct Database {
     address: Cell<SocketAddr>,
+    most: usize,
     /// After so long with no call a connection is closed: the peer would close or forget it, and a call that
     /// crossed that is lost.
     idle: Duration,
@@ -56,8 +56,9 @@
 }
 
 impl Database {
-    pub fn new(address: SocketAddr, idle: Duration) -> Database {
-        Database { address: Cell::new(address), idle, connections: RefCell::default(), numbers: Cell::new(0) }
+    pub fn new(address: SocketAddr, most: usize, idle: Duration) -> Database {
+        let (address, numbers) = (Cell::new(address), Cell::new(0));
+        Database { address, most, idle, connections: RefCell::default(), numbers }
     }
 
     /// New calls go to this address; those under way may finish where they are.
@@ -99,7 +100,7 @@
         let best = fits
             .min_by_key(|(_, connection)| (connection.calls.get(), std::cmp::Reverse(connection.used.get())));
         let (number, connection) = best?;
-        let all_busy = connection.calls.get() > 0 && open().count() < CONNECTIONS;
+        let all_busy = connection.calls.get() > 0 && open().count() < self.most.div_ceil(2);
         (!all_busy).then(|| (*number, connection.clone()))
     }
 
@@ -118,7 +119,7 @@
             quiet: Bell::default(),
         });
         let mut connections = self.connections.borrow_mut();
-        if connections.len() >= MOST
+        if connections.len() >= self.most
             && let Some(oldest) = connections.values().find(|connection| connection.retired.get())
         {
             oldest.calls.set(0);
--- /dev/null
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -0,0 +1,461 @@
+//! Two things that happen in the same moment: each test forces the crossing that `docs/design/crossings.md` names.
+
+use crate::common::*;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer, block_on};
+use hazelgrade::desk::JobId;
+use hazelgrade::time::{Span, Time};
+use hazelgrade_net::wire::Wire;
+use hazelgrade_server::routing::repeats::Repeats;
+use hazelgrade_server::transport::clients::{Client, Clients};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::Command;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+fn ended(cursor: u64, id: &str, fate: &str) -> Value {
+    json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": fate, "lasted": 9, "arg": "b25l"})
+}
+
+fn welcome() -> Value {
+    json!({"event": "WELCOME", "fate": "old", "lasted": 5})
+}
+
+/// Has a job of this client run and answered.
+fn serve_one(link: &mut Peer, client: &mut Peer, cursor: u64, id: &str) {
+    client.say(&job(800 + cursor, "read", id));
+    assert_eq!(link.command()["handle"], id);
+    link.say(&ended(cursor, id, "good"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+}
+
+/// One connection in the table of connections, without a process: its far end, and what came of it.
+struct Bench {
+    tasks: Rc<LocalExecutor<'static>>,
+    clients: Rc<Clients<u64>>,
+    lines: Rc<RefCell<Vec<String>>>,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        Bench {
+            tasks: Rc::new(LocalExecutor::new()),
+            clients: Rc::new(Clients::new(4)),
+            lines: Rc::default(),
+        }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let far = TcpStream::connect(listener.local_addr().expect("bound")).expect("accepted");
+        let near = Async::new(listener.accept().expect("connected").0).expect("a socket");
+        let (tasks, clients, lines) = (self.tasks.clone(), self.clients.clone(), self.lines.clone());
+        clients.comes();
+        let serve = async move {
+            let on_line = async |client: &Rc<Client<u64>>, line: &[u8]| {
+                lines.borrow_mut().push(String::from_utf8_lossy(line).trim_end().to_owned());
+                client.put("answer\n");
+            };
+            clients.serve(&tasks, Wire::plain(near), 1000, on_line, |_| None).await;
+        };
+        self.tasks.spawn(serve).detach();
+        far.set_nonblocking(true).expect("a socket");
+        far
+    }
+
+    fn lines(&self) -> Vec<String> {
+        self.lines.borrow().clone()
+    }
+}
+
+/// Gives way until something is so.
+async fn comes(mut so: impl FnMut() -> bool) {
+    let by = Instant::now() + SOON;
+    while !so() {
+        assert!(Instant::now() < by, "it does not come");
+        Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+fn read(mut far: &TcpStream) -> Result<Vec<u8>, ErrorKind> {
+    let mut bytes = [0; 100];
+    far.read(&mut bytes).map(|count| bytes[..count].to_vec()).map_err(|error| error.kind())
+}
+
+#[test]
+fn what_came_before_an_idle_close_is_served_and_what_comes_after_it_never_is() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let mut far = bench.connect();
+        // Idle for longer than a message may be on its way.
+        Timer::after(Duration::from_millis(300)).await;
+        // The message is with the system as the close is asked for; the reader has not been woken yet.
+        far.write_all(b"early\n").expect("it stands");
+        bench.clients.make_room();
+        comes(|| read(&far).is_ok_and(|bytes| bytes == b"answer\n")).await;
+        assert_eq!(bench.lines(), ["early"]);
+        Timer::after(Duration::from_millis(300)).await;
+        bench.clients.make_room();
+        comes(|| read(&far) == Ok(Vec::new())).await;
+        // Half-closed: what crosses is read and dropped, and resets nothing.
+        far.write_all(b"late\n").expect("it is still read");
+        Timer::after(Duration::from_millis(20)).await;
+        far.write_all(b"later\n").expect("it is still read");
+        assert_eq!((read(&far), bench.lines()), (Ok(Vec::new()), vec!["early".to_owned()]));
+        assert_eq!(bench.clients.count(), 1);
+        drop(far);
+        comes(|| bench.clients.count() == 0).await;
+    }));
+}
+
+#[test]
+fn a_peer_that_stays_after_the_half_close_is_let_go_when_there_is_no_room_and_else_after_its_time() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let idle = [bench.connect(), bench.connect()];
+        Timer::after(Duration::from_millis(300)).await;
+        bench.clients.make_room();
+        comes(|| idle.iter().all(|far| read(far) == Ok(Vec::new()))).await;
+        assert_eq!(bench.clients.count(), 2);
+        bench.clients.make_room();
+        let began = Instant::now();
+        comes(|| bench.clients.count() == 0).await;
+        assert!(began.elapsed() < Duration::from_millis(150), "{:?}", began.elapsed());
+        let _stays = bench.connect();
+        Timer::after(Duration::from_millis(300)).await;
+        bench.clients.make_room();
+        comes(|| bench.clients.count() == 0).await;
+    }));
+}
+
+#[test]
+fn a_message_that_was_read_and_is_not_a_job_yet_keeps_its_connection() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let mut far = bench.connect();
+        Timer::after(Duration::from_millis(300)).await;
+        // Two in one write: the second is in the buffer while the first is taken up.
+        far.write_all(b"one\ntwo\n").expect("it stands");
+        let lines = bench.lines.clone();
+        comes(|| {
+            bench.clients.make_room();
+            bench.clients.end_quiet();
+            lines.borrow().len() == 2
+        })
+        .await;
+        assert_eq!(bench.lines(), ["one", "two"]);
+    }));
+}
+
+#[test]
+fn a_drain_ends_clients_at_rest_by_a_half_close_and_what_they_send_then_is_not_run() {
+    let mut instance = Instance::start();
+    let (mut link, mut rests) = instance.ready();
+    serve_one(&mut link, &mut rests, 1, "a1");
+    let mut halfway = instance.client();
+    serve_one(&mut link, &mut halfway, 2, "a2");
+    let late = job(2, "read", "late").to_string();
+    halfway.write(&late[..20]);
+    instance.signal("TERM");
+    for client in [&mut rests, &mut halfway] {
+        assert_eq!(client.hear()["method"], "draining");
+        assert!(client.is_closed());
+    }
+    // Both hold their side open and write in the moment in which they see the end; neither is reset.
+    rests.say(&job(1, "read", "late"));
+    halfway.write(&format!("{}\n", &late[20..]));
+    assert!(rests.is_closed() && halfway.is_closed(), "reset");
+    drop((rests, halfway));
+    assert_eq!(instance.exit_code(), Some(0));
+    let mut rest = String::new();
+    while let Ok(1..) = std::io::BufRead::read_line(link.reader(), &mut rest) {}
+    assert!(!rest.contains("late"), "{rest}");
+}
+
+#[test]
+fn a_link_reset_between_a_command_and_its_notice_in_a_drain_loses_nothing() {
+    let mut instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    client.say(&job(1, "read", "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    instance.signal("TERM");
+    assert_eq!(client.hear()["method"], "draining");
+    drop(link);
+    let (mut link, cursor) = instance.link();
+    assert_eq!(cursor, 0);
+    link.say(&welcome());
+    assert_eq!(link.command(), json!({"event": "EXEC", "handle": "a1", "entry": "read", "arg": "aGVsbG8="}));
+    link.say(&ended(1, "a1", "good"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    drop(client);
+    assert_eq!(instance.exit_code(), Some(0));
+}
+
+#[test]
+fn a_link_that_ended_before_the_executor_was_up_has_no_reply_sent_twice_later() {
+    let instance = Instance::start();
+    let (first, _) = instance.link();
+    drop(first);
+    let (mut link, mut client) = instance.ready();
+    client.say(&job(1, "read", "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    link.say(&json!({"event": "CALLOUT", "cursor": 1, "handle": "a1", "arg": "cXVlcnk="}));
+    let mut below = Below::of(&instance.database);
+    let place = below.call("a1");
+    below.reply(place, "a1 ROWS 0\r\n\r\n");
+    assert_eq!(link.command()["event"], "RETURN");
+    // Two questions answered in order after it prove that it arrived.
+    link.answer_gauges(2);
+    std::thread::sleep(Duration::from_millis(20));
+    drop(link);
+    let (mut link, _) = instance.link();
+    link.say(&welcome());
+    link.answer_gauges(3);
+    link.say(&ended(2, "a1", "good"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+}
+
+/// An instance whose configuration is a pipe: it stands still in reading it until it is written.
+struct Waits {
+    child: std::process::Child,
+    pipe: std::path::PathBuf,
+    whole: String,
+    listen: std::net::SocketAddr,
+}
+
+impl Waits {
+    fn start(held: &Instance) -> Waits {
+        let pipe = write("");
+        std::fs::remove_file(&pipe).expect("a file");
+        assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+        let mut told: Value = serde_json::from_str(&held.configuration()).expect("JSON");
+        let listen = free_address();
+        told["listen"] = json!(listen.to_string());
+        let child =
+            command(&["serve", "--log", "warn"]).env("PROXY_CONFIG", &pipe).spawn().expect("it starts");
+        Waits { child, pipe, whole: told.to_string(), listen }
+    }
+
+    /// Opens the pipe, which is done once it reads at the other end; sends a signal then, and lets it go on.
+    fn signal_while_it_reads(&mut self, name: &str) {
+        let mut pipe = std::fs::OpenOptions::new().write(true).open(&self.pipe).expect("it reads");
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill runs").success());
+        pipe.write_all(self.whole.as_bytes()).expect("it still reads");
+    }
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.pipe);
+    }
+}
+
+#[test]
+fn signals_before_the_listener_stands_are_heard_a_reload_is_made_up_for_and_a_notice_leaves_with_0() {
+    // It holds an executor, a registry and a database that listen.
+    let held = Instance::start();
+    let mut told = Waits::start(&held);
+    told.signal_while_it_reads("TERM");
+    assert_eq!(told.child.wait().expect("a child").code(), Some(0));
+    let mut reloaded = Waits::start(&held);
+    reloaded.signal_while_it_reads("HUP");
+    // The file is read again: opening the pipe for writing is done only once it is.
+    let moved = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut next: Value = serde_json::from_str(&reloaded.whole).expect("JSON");
+    next["executor"] = json!(moved.local_addr().expect("bound").to_string());
+    std::fs::write(&reloaded.pipe, next.to_string()).expect("it reads again");
+    assert_eq!(Peer::accept(&moved).hear(), json!({"event": "JOIN", "cursor": 0}));
+    assert!(TcpStream::connect(reloaded.listen).is_ok());
+}
+
+#[test]
+fn a_registry_that_cannot_be_reached_stops_neither_the_start_nor_the_serving() {
+    // Datagrams to the address of all hosts are refused by this machine itself.
+    let mut instance = Instance::start_with(|told| told["registry"] = json!("127.255.255.255:9"));
+    let (mut link, mut client) = instance.ready();
+    serve_one(&mut link, &mut client, 1, "a1");
+    // It comes back, and reports go there.
+    let registry = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    registry.set_read_timeout(Some(SOON)).expect("a time-out");
+    let address = registry.local_addr().expect("bound").to_string();
+    instance.reload(|told| told["registry"] = json!(address));
+    let mut beat = [0; 64];
+    let length = registry.recv(&mut beat).expect("a report");
+    assert_eq!(&beat[..length], b"BEAT n1 ready");
+    // It goes again: nobody is there, and later reports come all the same to whoever is there next.
+    drop(registry);
+    serve_one(&mut link, &mut client, 2, "a2");
+    std::thread::sleep(Duration::from_millis(600));
+    let registry = std::net::UdpSocket::bind(&address).expect("the same port");
+    registry.set_read_timeout(Some(SOON)).expect("a time-out");
+    assert!(registry.recv(&mut beat).is_ok());
+}
+
+#[test]
+fn an_address_that_the_process_before_it_still_holds_is_waited_for() {
+    let held = RefCell::new(None);
+    let instance = Instance::start_with(|told| {
+        let address = told["listen"].as_str().expect("an address").to_owned();
+        held.replace(Some(TcpListener::bind(address).expect("free")));
+    });
+    std::thread::sleep(Duration::from_millis(400));
+    held.take();
+    let (_link, mut client) = instance.ready();
+    assert_eq!(client.check(1)["result"]["up"], true);
+}
+
+#[test]
+fn a_flood_of_idle_connections_at_the_smallest_limit_stops_neither_checks_nor_new_callers_nor_calls_below() {
+    let instance = Instance::start_with(|told| {
+        told["limits"]["sockets"] = json!(32);
+        // Nobody is there to be told of it.
+        told["registry"] = json!("127.0.0.1:9");
+    });
+    let (mut link, _first) = instance.ready();
+    let mut health = instance.client();
+    assert_eq!(health.check(1)["result"]["up"], true);
+    let mut crowd: Vec<Peer> = (0..60).map(|_| instance.client()).collect();
+    // Those that came first go first; the check asked before all of them.
+    assert!(crowd[0].is_closed());
+    assert_eq!(health.check(2)["result"]["up"], true, "the connection of the health check went");
+    let mut late = instance.client();
+    let mut below = Below::of(&instance.database);
+    for number in 1..=8 {
+        let id = format!("a{number}");
+        late.say(&job(number, "read", &id));
+        assert_eq!(link.command()["handle"], id);
+        link.say(&json!({"event": "CALLOUT", "cursor": number, "handle": id, "arg": "cXVlcnk="}));
+        below.call(&id);
+    }
+    // The link is replaced beside all of them.
+    drop(link);
+    let (mut link, _) = instance.link();
+    link.say(&welcome());
+    for number in 1..=8 {
+        link.say(&ended(8 + number, &format!("a{number}"), "good"));
+        assert_eq!(late.hear()["result"]["body"], "b25l");
+    }
+    drop(crowd);
+}
+
+#[test]
+fn a_numbered_job_under_the_id_of_one_that_is_over_is_answered_from_what_is_kept_and_not_run() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    let numbered = |call: u64, mark: &str| {
+        let mut job = job(call, "book", "a1");
+        job["params"]["opkey"] = json!(mark);
+        job
+    };
+    client.say(&numbered(1, "order-7"));
+    assert_eq!(link.command()["handle"], "a1");
+    link.say(&ended(1, "a1", "good"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    client.say(&numbered(2, "order-7"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    client.say(&numbered(3, "order-8"));
+    assert_eq!(client.hear()["error"]["code"], -32066);
+    // A repeat under an id of its own still gets the kept result.
+    let mut repeat = numbered(4, "order-7");
+    repeat["params"]["req"] = json!("a2");
+    client.say(&repeat);
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    link.say(&json!({"event": "LOG", "cursor": 2, "fate": "nothing was run meanwhile"}));
+    client.say(&job(5, "read", "b1"));
+    assert_eq!(link.command()["handle"], "b1");
+}
+
+/// A try, as a plain account has it.
+struct Try {
+    key: usize,
+    reached: f64,
+    until: f64,
+    /// Whose result it shares; else it was run.
+    shares: Option<String>,
+    result: Option<String>,
+}
+
+/// Plays tries that come, run for longer or shorter than their window, and end, in any order, read late or not.
+fn plays(steps: &[(u8, u8, u8)]) {
+    const WINDOW: f64 = 40.0;
+    const UNREAD: f64 = 30.0;
+    let repeats = Repeats::new(1 << 20);
+    let (mut tries, mut now, mut count) = (BTreeMap::<String, Try>::new(), 0.0, 0u32);
+    let end = |tries: &mut BTreeMap<String, Try>, id: String, now: f64| {
+        let mut over = vec![(id.clone(), Some(format!("made by {id}")))];
+        while let Some((id, result)) = over.pop() {
+            tries.get_mut(&id).expect("in hand").result = result.clone();
+            let at = Time::from_ms(now);
+            let waiting =
+                repeats.done(&id.as_str().into(), at, result.clone().map(|body| body.as_str().into()));
+            over.extend(waiting.into_iter().map(|id| (id.to_string(), result.clone())));
+        }
+    };
+    for (what, key, by) in steps {
+        now += f64::from(by % 16);
+        let key = usize::from(key % 2);
+        let runs = |tried: &&Try| tried.key == key && tried.shares.is_none();
+        if what % 3 < 2 {
+            let reached = (now - f64::from(by % 30)).max(0.0);
+            // Ids are drawn: their order says nothing of who came first.
+            count += 1;
+            let id = format!("{:08x}", count.wrapping_mul(0x9e37_79b1));
+            let named: JobId = id.as_str().into();
+            let at = Time::from_ms(reached);
+            let prior = repeats.arrived(&named, (0, key.to_string()), at, Span::from_ms(UNREAD));
+            let due = tries.values().filter(runs).any(|of| of.until > reached || of.result.is_none());
+            assert_eq!(prior.is_some(), due, "{id} at {now}, reached at {reached}");
+            let mut result = None;
+            if let Some(prior) = &prior {
+                let of = &tries[&prior.to_string()];
+                assert!(of.shares.is_none() && of.key == key, "{id} repeats {prior}, which was never run");
+                let shared = repeats.share(&named, prior);
+                assert_eq!(shared, of.result.as_deref().map(|body| Some(body.into())));
+                result = shared.is_some().then(|| of.result.clone()).flatten();
+            } else {
+                repeats.remember(
+                    &named,
+                    Time::from_ms(now),
+                    Span::from_ms((reached + WINDOW - now).max(0.0)),
+                );
+            }
+            let shares = prior.map(|prior| prior.to_string());
+            let until = reached + WINDOW;
+            tries.insert(id.clone(), Try { key, reached, until, shares, result: result.clone() });
+            if result.is_some() {
+                repeats.done(&named, Time::from_ms(now), result.map(|body| body.as_str().into()));
+            }
+        } else {
+            let runs = tries.iter().find(|(_, of)| runs(of) && of.result.is_none()).map(|(id, _)| id.clone());
+            if let Some(id) = runs {
+                end(&mut tries, id, now);
+            }
+        }
+    }
+    // No two were run of which the later came within the window of the earlier.
+    for (id, of) in tries.iter().filter(|(_, of)| of.shares.is_none()) {
+        let twice = tries.iter().find(|(other, later)| {
+            later.shares.is_none()
+                && *other != id
+                && later.key == of.key
+                && (of.reached..of.until).contains(&later.reached)
+        });
+        assert!(twice.is_none(), "{id} and {:?} were both run", twice.map(|(other, _)| other));
+    }
+}
+
+#[test]
+fn no_order_of_arrivals_windows_and_ends_has_a_numbered_job_run_twice_within_its_window() {
+    fn property(steps: Vec<(u8, u8, u8)>) -> bool {
+        plays(&steps);
+        true
+    }
+    quickcheck::QuickCheck::new().tests(3000).quickcheck(property as fn(Vec<(u8, u8, u8)>) -> bool);
+}
--- a/crates/hazelgrade-server/tests/instance/input.rs
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -252,7 +252,7 @@
 fn connections_below_are_used_again_closed_when_idle_and_told_apart_when_nothing_was_sent() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
-    let database = Rc::new(Database::new(address, Duration::from_millis(100)));
+    let database = Rc::new(Database::new(address, 32, Duration::from_millis(100)));
     let (heard, tasks) = (Rc::new(Heard(RefCell::default())), Rc::new(async_executor::LocalExecutor::new()));
     let pause = |ms| async_io::Timer::after(Duration::from_millis(ms));
     let play = async {
@@ -281,7 +281,7 @@
     let (now, repeats) = (Time::from_ms(0.0), Repeats::new(10));
     for (place, id) in ["a1", "a2"].into_iter().enumerate() {
         let id = id.into();
-        repeats.arrived(&id, (0, place.to_string()), now);
+        repeats.arrived(&id, (0, place.to_string()), now, Span::ZERO);
         repeats.remember(&id, now, Span::from_ms(1000.0 + place as f64));
         repeats.done(&id, now, Some("12345678".into()));
     }
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -1,4 +1,5 @@
 mod common;
+mod crossings;
 mod input;
 mod process;
 mod serving;
