A numbered job is known by its mark and what it asks: a copied mark gets no one's result

A probe printed what each numbered job carries: the bad client sends the mark, memory and rank of a job it has seen under an id that nobody has, and another body. Ruled out: marks of further tries (a copied further try has one), connections that are not proved (a stub that restarts isn't either).

Change: the key is use case, customer, mark and a keyed digest of the body, as idempotency keys are checked elsewhere. A copy is a job of its own, which the executor doesn't know, and can't take the mark's place.

--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -150,7 +150,9 @@
         if over || asked.job.reached > now + Span::from_ms(AHEAD_MS) {
             return self.refuse(client, &jsonrpc::wrong_time(call));
         }
-        let key = asked.mark.take().filter(|_| numbered).map(|mark| (asked.job.use_case, mark));
+        let mark = asked.mark.take().filter(|_| numbered);
+        let (use_case, customer) = (asked.job.use_case, asked.job.customer);
+        let key = mark.map(|mark| parts.repeats.key(use_case, customer, mark, &asked.body));
         if let Some((of, result)) = parts.repeats.kept(&id) {
             // It is over under this id: as long as that is known, it is not run again, and of another nothing was run.
             let bounced = Answer::Bounced { not_elsewhere: false, back_in: Span::ZERO };
--- a/crates/hazelgrade-server/src/routing/repeats.rs
+++ b/crates/hazelgrade-server/src/routing/repeats.rs
@@ -6,9 +6,18 @@
 use hazelgrade::time::{Span, Time};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-
-/// Use case and mark.
-pub type Key = (usize, String);
+use std::hash::{BuildHasher, RandomState};
+
+/// What makes two tries those of one job: use case, customer, mark, and what is asked for. A mark alone is no proof: whoever
+/// has seen it could ask for the result with words of its own, or have the place taken by a job that nobody has.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    use_case: usize,
+    customer: usize,
+    mark: String,
+    /// A digest that no client can choose, in place of the body: bodies are kilobytes.
+    content: u64,
+}
 
 struct Entry {
     holder: JobId,
@@ -54,7 +63,10 @@
     most_bytes: usize,
 }
 
-pub struct Repeats(RefCell<Table>);
+pub struct Repeats {
+    table: RefCell<Table>,
+    digests: RandomState,
+}
 
 impl Table {
     /// Out of hand: until when it is known, and what its result takes.
@@ -90,19 +102,24 @@
 
 impl Repeats {
     pub fn new(most_bytes: usize) -> Repeats {
-        Repeats(RefCell::new(Table { most_bytes, ..Table::default() }))
+        let table = RefCell::new(Table { most_bytes, ..Table::default() });
+        Repeats { table, digests: RandomState::new() }
+    }
+
+    pub fn key(&self, use_case: usize, customer: usize, mark: String, body: &Body) -> Key {
+        Key { use_case, customer, mark, content: self.digests.hash_one(body) }
     }
 
     /// A job that is out of hand and known by this id: what it was, and the result that is kept of it.
     pub fn kept(&self, id: &JobId) -> Option<(Key, Option<Body>)> {
-        let table = self.0.borrow();
+        let table = self.table.borrow();
         let marked = table.jobs.get(id).filter(|marked| !marked.in_hand)?;
         Some((marked.key.clone(), marked.result.clone().flatten()))
     }
 
     /// A job with a mark arrives, under an id that is known of no other: gives the one that it repeats, if that is known.
     pub fn arrived(&self, id: &JobId, key: Key, reached: Time, unread_for: Span) -> Option<JobId> {
-        let mut table = self.0.borrow_mut();
+        let mut table = self.table.borrow_mut();
         let kept = table.entries.get(&key).filter(|entry| entry.until > reached);
         let runs = |id: &&JobId| table.jobs.get(*id).is_some_and(|job| !job.shares);
         let in_hand = || table.in_hand.get(&key).and_then(|ids| ids.iter().find(runs));
@@ -122,7 +139,7 @@
     }
 
     pub fn remember(&self, id: &JobId, now: Time, span: Span) {
-        let mut table = self.0.borrow_mut();
+        let mut table = self.table.borrow_mut();
         let Some(marked) = table.jobs.get_mut(id).filter(|marked| marked.in_hand) else { return };
         marked.kept_until = Some(now + span);
         let key = marked.key.clone();
@@ -130,7 +147,7 @@
     }
 
     pub fn forget(&self, id: &JobId) {
-        let mut table = self.0.borrow_mut();
+        let mut table = self.table.borrow_mut();
         match table.jobs.get_mut(id) {
             Some(marked) if marked.in_hand => {
                 marked.kept_until = None;
@@ -146,7 +163,7 @@
     /// The result that a repeat shares: `None` while it is not there yet, then the repeat waits for it;
     /// `Some(None)` where there is none to be had.
     pub fn share(&self, id: &JobId, prior: &JobId) -> Option<Option<Body>> {
-        let mut table = self.0.borrow_mut();
+        let mut table = self.table.borrow_mut();
         if let Some(marked) = table.jobs.get_mut(id) {
             marked.shares = true;
         }
@@ -160,7 +177,7 @@
 
     /// A job leaves the hand, with its result if it has one: gives the repeats that wait for it.
     pub fn done(&self, id: &JobId, now: Time, result: Option<Body>) -> Vec<JobId> {
-        let mut table = self.0.borrow_mut();
+        let mut table = self.table.borrow_mut();
         let Some(marked) = table.jobs.get_mut(id).filter(|marked| marked.in_hand) else { return Vec::new() };
         let waiting = std::mem::take(&mut marked.waiting);
         (marked.in_hand, marked.result) = (false, Some(result));
--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -372,6 +372,35 @@
     assert_eq!(link.command()["handle"], "b1");
 }
 
+/// Found by the bench under deploy/sites: whoever copied a mark was answered with the result of the job that it belongs to.
+#[test]
+fn a_copied_mark_with_another_body_gets_no_result_that_was_made_for_others_and_disturbs_none() {
+    let instance = Instance::start();
+    let (mut link, mut client) = instance.ready();
+    let numbered = |call: u64, id: &str, body: &str| {
+        let mut job = job(call, "book", id);
+        (job["params"]["opkey"], job["params"]["body"]) = (json!("order-7"), json!(body));
+        job
+    };
+    client.say(&numbered(1, "a1", "aGVsbG8="));
+    assert_eq!(link.command()["handle"], "a1");
+    link.say(&ended(1, "a1", "good"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    let mut stranger = instance.client();
+    stranger.say(&numbered(1, "f1", "b3RoZXI="));
+    // It is a job of its own, and the executor has none such.
+    let run = link.command();
+    assert_eq!((&run["event"], &run["handle"]), (&json!("EXEC"), &json!("f1")));
+    link.say(&json!({"event": "BAD", "fate": "EXEC", "handle": "f1"}));
+    assert!(stranger.hear()["error"].is_object());
+    // Nor is there any result to share in with the same words again.
+    stranger.say(&numbered(2, "f2", "b3RoZXI="));
+    assert!(stranger.hear()["error"].is_object());
+    // It doesn't take the mark either: the repeat is answered from what was kept.
+    client.say(&numbered(2, "a2", "aGVsbG8="));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+}
+
 /// A try, as a plain account has it.
 struct Try {
     key: usize,
@@ -409,7 +438,10 @@
             let id = format!("{:08x}", count.wrapping_mul(0x9e37_79b1));
             let named: JobId = id.as_str().into();
             let at = Time::from_ms(reached);
-            let prior = repeats.arrived(&named, (0, key.to_string()), at, Span::from_ms(UNREAD));
+            let prior = {
+                let of = repeats.key(0, 0, key.to_string(), &"".into());
+                repeats.arrived(&named, of, at, Span::from_ms(UNREAD))
+            };
             let due = tries.values().filter(runs).any(|of| of.until > reached || of.result.is_none());
             assert_eq!(prior.is_some(), due, "{id} at {now}, reached at {reached}");
             let mut result = None;
--- a/crates/hazelgrade-server/tests/instance/input.rs
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -281,7 +281,8 @@
     let (now, repeats) = (Time::from_ms(0.0), Repeats::new(10));
     for (place, id) in ["a1", "a2"].into_iter().enumerate() {
         let id = id.into();
-        repeats.arrived(&id, (0, place.to_string()), now, Span::ZERO);
+        let key = repeats.key(0, 0, place.to_string(), &"".into());
+        repeats.arrived(&id, key, now, Span::ZERO);
         repeats.remember(&id, now, Span::from_ms(1000.0 + place as f64));
         repeats.done(&id, now, Some("12345678".into()));
     }
