--- /dev/null
+++ b/crates/hazelgrade-server/tests/instance/fleet.rs
@@ -0,0 +1,152 @@
+//! Twenty processes at a time: what holds for each has to hold for all of them together.
+
+use crate::common::*;
+use hazelgrade_rig::edge::Edge;
+use hazelgrade_standins::callers::{Callers, Fate, Plan};
+use hazelgrade_standins::dependency::Dependency;
+use hazelgrade_standins::executor::{Executor, Work};
+use serde_json::json;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+const NODES: usize = 20;
+/// What the settings tell each of the calls that all may have in hand.
+const SHARE: usize = 2;
+const CALL: Duration = Duration::from_millis(40);
+/// What holds for a restart.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+struct Member {
+    instance: Instance,
+    executor: Executor,
+    link: Edge,
+    callers: Callers,
+}
+
+/// One fleet at a time: it keeps a small machine busy.
+fn alone() -> MutexGuard<'static, ()> {
+    static ONE: Mutex<()> = Mutex::new(());
+    ONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Each with an executor and callers of its own, which ask for twice what the calls below allow.
+fn fleet(dependency: &Dependency) -> Vec<Member> {
+    let member = |_| {
+        let work = Work { cores: 4, takes: Duration::from_millis(8), calls: true };
+        let executor = Executor::start(work).expect("a port");
+        let link = Edge::tcp(executor.address).expect("a port");
+        let instance = Instance::start_with(|told| {
+            told["executor"] = json!(link.address.to_string());
+            told["db"] = json!(dependency.address.to_string());
+            let specifics = &mut told["settings"]["specifics"];
+            (specifics["below"], specifics["callsOut"]) = (json!("shared"), json!(SHARE));
+            (specifics["callsOver"], specifics["cores"]) = (json!(1000), json!(4));
+        });
+        let rate = 2.0 * SHARE as f64 / CALL.as_secs_f64();
+        let use_cases = vec!["read".to_owned()];
+        let node = instance.listen;
+        let plan = Plan { node, connections: 3, rate, use_cases, owner: "acme".into(), token: None };
+        Member { instance, executor, link, callers: Callers::start(&plan) }
+    };
+    (0..NODES).map(member).collect()
+}
+
+fn comes(mut so: impl FnMut() -> bool) {
+    let by = Instant::now() + Duration::from_secs(60);
+    while !so() {
+        assert!(Instant::now() < by, "it does not come");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Until a check is answered with `up`.
+fn up(listen: SocketAddr) -> Option<()> {
+    let mut stream = TcpStream::connect(listen).ok()?;
+    stream.set_read_timeout(Some(SOON)).ok()?;
+    stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"ping\"}\n").ok()?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).ok()?;
+    line.contains("\"up\":true").then_some(())
+}
+
+fn served(members: &[Member]) -> Vec<usize> {
+    let served =
+        |member: &Member| member.callers.told().iter().filter(|told| told.fate == Fate::Satisfied).count();
+    members.iter().map(served).collect()
+}
+
+/// Waits until each has served so many more.
+fn serve_on(members: &[Member], more: usize) {
+    let before = served(members);
+    comes(|| served(members).iter().zip(&before).all(|(now, before)| *now >= before + more));
+}
+
+/// Each holds its own part, whatever it knows of the others, so that all together never pass the whole: not when they
+/// start cold at once, nor past capacity, nor when half of them are killed and come back.
+#[test]
+fn calls_below_of_twenty_processes_never_pass_the_whole_at_any_instant() {
+    let _alone = alone();
+    let dependency = Dependency::start(CALL, NODES * SHARE).expect("a port");
+    let mut members = fleet(&dependency);
+    serve_on(&members, 10);
+    let crowded = dependency.peak();
+    for member in members.iter_mut().step_by(2) {
+        member.instance.kill();
+        member.executor.restart();
+    }
+    for member in members.iter_mut().step_by(2) {
+        member.instance.start_again();
+    }
+    serve_on(&members, 10);
+    println!("{} in hand at most, {crowded} before the restart, of {}", dependency.peak(), NODES * SHARE);
+    assert_eq!(dependency.passed(), (0, 0), "{} in hand at most", dependency.peak());
+    // Close to the whole was asked for, or nothing is shown.
+    assert!(crowded * 2 > NODES * SHARE, "only {crowded} in hand");
+}
+
+/// Twenty are killed together under load; their executors come 2 s late.
+#[test]
+fn of_twenty_processes_that_restart_together_nine_in_ten_are_ready_within_ten_seconds() {
+    let _alone = alone();
+    let dependency = Dependency::start(CALL, NODES * SHARE).expect("a port");
+    let mut members = fleet(&dependency);
+    serve_on(&members, 5);
+    for member in &mut members {
+        member.link.refuse(true);
+        member.instance.kill();
+        member.link.reset();
+        member.executor.restart();
+    }
+    let began = Instant::now();
+    for member in &mut members {
+        member.instance.start_again();
+    }
+    let waits: Vec<_> = members
+        .iter()
+        .map(|member| {
+            let listen = member.instance.listen;
+            std::thread::spawn(move || {
+                while up(listen).is_none() && began.elapsed() < 2 * READY_WITHIN {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                began.elapsed()
+            })
+        })
+        .collect();
+    let mut ready: Vec<Duration> = waits.into_iter().map(|wait| wait.join().expect("it waits")).collect();
+    ready.sort();
+    let late = Duration::from_secs(2).saturating_sub(began.elapsed());
+    std::thread::sleep(late);
+    members.iter().for_each(|member| member.link.refuse(false));
+    serve_on(&members, 5);
+    println!(
+        "ready after {:?} at the middle, {:?} nine in ten, {:?} at most; all served again after {:?}",
+        ready[NODES / 2],
+        ready[NODES * 9 / 10 - 1],
+        ready[NODES - 1],
+        began.elapsed()
+    );
+    assert!(ready[NODES * 9 / 10 - 1] < READY_WITHIN, "{ready:?}");
+}
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -1,5 +1,6 @@
 mod common;
 mod crossings;
+mod fleet;
 mod input;
 mod process;
 mod serving;
--- a/crates/hazelgrade/tests/crowd.rs
+++ b/crates/hazelgrade/tests/crowd.rs
@@ -91,6 +91,8 @@
     /// Means of arrivals and their squares, of each server in each second.
     spread: Vec<(f64, f64)>,
     busy: Vec<f64>,
+    /// Of cold servers, the most that was on the cores as a part of what they live through then.
+    cold: f64,
     fault: Option<String>,
 }
 
@@ -338,7 +340,12 @@
             self.apply(number, act);
         }
         let server = &self.servers[number];
-        let crowd = CORES * self.setup.promises.crowd_per_core;
+        // What it lives through: less while it is cold.
+        let warm = (COLD + (1.0 - COLD) * (now - server.begun) / WARM_UP).min(1.0);
+        let crowd = CORES * (1.0 + (self.setup.promises.crowd_per_core - 1.0) * warm);
+        if warm < 1.0 {
+            self.seen.cold = self.seen.cold.max(server.running.len() as f64 / crowd);
+        }
         let crowded = server.running.len() as f64 > crowd;
         let late = server.owed.iter().find(|(_, asked)| now > asked.reached + 6000.0 + 60.0);
         let late = late.map(|(id, _)| id.clone());
@@ -574,6 +581,22 @@
     });
 }
 
+/// Beside warm ones, and among servers that are all cold, by few callers and by many, with half as much again as the fleet
+/// can do: what a cold server has on its cores is bounded by itself, whoever sends.
+#[test]
+fn a_cold_server_stays_up_under_the_sum_of_what_twenty_thirty_and_three_hundred_send() {
+    for callers in [20, 30, 300] {
+        for (what, nth) in [("one of 21 cold", 21), ("all cold", 1)] {
+            let replace = |crowd: &mut Crowd| crowd.at(8000.0, Event::Replace(every(crowd, nth)));
+            plays((21, callers), 1.5, replace, |seen| {
+                println!("{callers} callers, {what}: {:.2} of what it lives through", seen.cold);
+                assert!(seen.cold > 0.3 && seen.cold <= 1.0, "{callers} callers, {what}: {}", seen.cold);
+                seen.is_served(17, 27, 0.45);
+            });
+        }
+    }
+}
+
 #[test]
 fn the_few_that_lag_go_off_the_list_and_come_back_now_and_then() {
     let slow = |crowd: &mut Crowd| crowd.at(8000.0, Event::Slow(every(crowd, 8), 0.04));
