The test of early signals puts a file in the pipe's place, so that no two writes can meet in it

Seen: under a full CPU load it failed once; the second write reached the pipe while the first reader still held it open, so both configurations were read as one. The file is renamed over the pipe while the process is held in reading it; no second open is left.

--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -240,11 +240,13 @@
         Waits { child, pipe, whole: told.to_string(), listen }
     }
 
-    /// Opens the pipe, which is done once it reads at the other end; sends a signal then, and lets it go on.
-    fn signal_while_it_reads(&mut self, name: &str) {
+    /// Opens the pipe, which is done once it reads at the other end; sends a signal then, puts a file in the pipe's place for
+    /// whoever reads it again, and lets it go on.
+    fn signal_while_it_reads(&mut self, name: &str, next: &Value) {
         let mut pipe = std::fs::OpenOptions::new().write(true).open(&self.pipe).expect("it reads");
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill runs").success());
+        std::fs::rename(write(&next.to_string()), &self.pipe).expect("a file");
         pipe.write_all(self.whole.as_bytes()).expect("it still reads");
     }
 }
@@ -262,15 +264,13 @@
     // It holds an executor, a registry and a database that listen.
     let held = Instance::start();
     let mut told = Waits::start(&held);
-    told.signal_while_it_reads("TERM");
+    told.signal_while_it_reads("TERM", &json!({}));
     assert_eq!(told.child.wait().expect("a child").code(), Some(0));
     let mut reloaded = Waits::start(&held);
-    reloaded.signal_while_it_reads("HUP");
-    // The file is read again: opening the pipe for writing is done only once it is.
     let moved = TcpListener::bind("127.0.0.1:0").expect("a port");
     let mut next: Value = serde_json::from_str(&reloaded.whole).expect("JSON");
     next["executor"] = json!(moved.local_addr().expect("bound").to_string());
-    std::fs::write(&reloaded.pipe, next.to_string()).expect("it reads again");
+    reloaded.signal_while_it_reads("HUP", &next);
     assert_eq!(Peer::accept(&moved).hear(), json!({"event": "JOIN", "cursor": 0}));
     assert!(TcpStream::connect(reloaded.listen).is_ok());
 }
