--- a/crates/hazelgrade-server/tests/instance/fleet.rs
+++ b/crates/hazelgrade-server/tests/instance/fleet.rs
@@ -96,6 +96,8 @@
         member.instance.kill();
         member.executor.restart();
     }
+    // What they had in hand is over before they come back: a new process can't know of it.
+    std::thread::sleep(2 * CALL);
     for member in members.iter_mut().step_by(2) {
         member.instance.start_again();
     }
