--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -31,7 +31,6 @@
 impl Front {
     /// Starts to serve a connection.
     pub fn start(self: &Rc<Self>, stream: Async<TcpStream>) {
-        self.clients.comes();
         self.tasks.spawn(self.clone().serve(stream)).detach();
     }
 
@@ -42,7 +41,7 @@
             Ok(accepted) => accepted,
             Err(end) => {
                 tracing::debug!(?end, "no handshake");
-                return self.clients.came();
+                return;
             }
         };
         let caller = Caller { from, known: RefCell::new(Known { token: None, certificate }) };
@@ -88,7 +87,6 @@
                 client.put(&jsonrpc::encode_hello(call, hello));
             }
             Ok(Incoming::Check(call)) => {
-                client.checks();
                 client.put(&jsonrpc::encode_check(call, rounds.good(), rounds.said()));
             }
             Err(wrong) => match wrong.call.filter(|_| wrong.not_here) {
