One closing path for clients again; a flood that asked for one check makes room at once

Checked with a probe of the connections each 200 ms in which accepting waits: 464 of 464 taken, 455 unused ones had asked for one check and stayed, all old enough to go, one that had said nothing was too young, none half-closed, none with answers unwritten, none in a handshake. At fault: `Client::rank` (one check ranked above silence) with `Clients::make_room` (a higher rank waits while any of a lower one exists): each connection that came in was the next that had to age 250 ms, so some four came in a second, and what waited with the system was lost. Ruled out: the half-close and the reading on after it (broken without them too).

Who has asked once ranks with those that say nothing; who comes back for a check is kept longer, up to 16, past that they are a flood as well; only those that may go, are ending, or are just accepted are waited for. A connection whose jobs run is not idle while a message of it is on its way.

Tests, seen to fail on the order as it was: those_that_asked_once_and_stay..., more_that_come_back_for_checks..., a_connection_whose_jobs_run...

--- a/crates/hazelgrade-server/src/program/drain.rs
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -15,6 +15,8 @@
 const CLOSED_BEFORE: Duration = Duration::from_millis(150);
 /// With no client connected for this long, nobody comes any more.
 const ALONE_FOR: Duration = Duration::from_millis(1500);
+/// With every answer written, it exits this long before the stop, whatever peers still hold their connections.
+const EXIT_BEFORE: Duration = Duration::from_millis(20);
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
 /// Answers all that comes from the notice until the stop is near or all clients have left; `true` if every answer was written.
@@ -48,16 +50,22 @@
             break;
         }
     }
-    // What the system has accepted counts, even unread: it is served before the listener goes.
+    // What the system has accepted counts, even unread: all of it is taken before the listener goes.
     accepting.cancel().await;
-    take_backlog(&listener, |stream| front.start(stream));
+    let take = || take_backlog(&listener, &front.clients, |stream| front.start(stream));
+    while !take() && began.elapsed() < stop {
+        front.clients.make_room();
+        Timer::after(LOOK_EVERY).await;
+    }
     drop(listener);
-    Timer::after(LOOK_EVERY * 4).await;
-    // The module's last answers come shortly before the stop.
-    while !settled() && began.elapsed() < stop {
+    // The module's last answers come shortly before the stop. A connection on which nothing is owed is ended as any other,
+    // so that nothing that is still on its way to its peer goes with the process.
+    let by = || stop.saturating_sub(if settled() { EXIT_BEFORE } else { Duration::ZERO });
+    while (front.clients.count() > 0 || !settled()) && began.elapsed() < by() {
         Timer::after(LOOK_EVERY).await;
+        front.clients.end_quiet();
     }
-    let (tally, owed) = (*parts.tally.borrow(), parts.hand.owed());
-    tracing::info!(?tally, owed, after_ms = began.elapsed().as_millis(), "left");
+    let (tally, owed, connections) = (*parts.tally.borrow(), parts.hand.owed(), front.clients.count());
+    tracing::info!(?tally, owed, connections, after_ms = began.elapsed().as_millis(), "left");
     settled()
 }
--- a/crates/hazelgrade-server/src/routing/front.rs
+++ b/crates/hazelgrade-server/src/routing/front.rs
@@ -31,6 +31,7 @@
 impl Front {
     /// Starts to serve a connection.
     pub fn start(self: &Rc<Self>, stream: Async<TcpStream>) {
+        self.clients.comes();
         self.tasks.spawn(self.clone().serve(stream)).detach();
     }
 
@@ -41,7 +42,7 @@
             Ok(accepted) => accepted,
             Err(end) => {
                 tracing::debug!(?end, "no handshake");
-                return;
+                return self.clients.came();
             }
         };
         let caller = Caller { from, known: RefCell::new(Known { token: None, certificate }) };
@@ -87,6 +88,7 @@
                 client.put(&jsonrpc::encode_hello(call, hello));
             }
             Ok(Incoming::Check(call)) => {
+                client.checks();
                 client.put(&jsonrpc::encode_check(call, rounds.good(), rounds.said()));
             }
             Err(wrong) => match wrong.call.filter(|_| wrong.not_here) {
--- a/crates/hazelgrade-server/src/transport/clients.rs
+++ b/crates/hazelgrade-server/src/transport/clients.rs
@@ -27,8 +27,8 @@
 const SLACK_MESSAGES: usize = 64;
 /// A younger one may have a call on its way.
 const IDLE_AT_LEAST: Duration = Duration::from_millis(250);
-/// How long a connection that is ended from here is still read, and how much, so that its peer gets what it was
-/// sent: closing with bytes unread resets it. A peer that goes on sending past that is reset.
+/// How long a connection is still read after its half-close, and how much, so that its peer gets what it was sent:
+/// closing with bytes unread resets it. A peer that goes on sending past that is reset.
 const LINGER: Duration = Duration::from_millis(300);
 const LINGER_BYTES: usize = 128 * 1024;
 /// A connection is opened for a message, and a message is written whole: what has not come by then does not come.
@@ -47,6 +47,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// Idle connections that are closed at once when there is no room.
 const ROOM: usize = 16;
+/// Within so long a peer sends once more what crossed the close of its connection.
+const CROSSES_WITHIN: Duration = Duration::from_millis(50);
 
 /// A connection of a client. Its calls are told apart by their number.
 pub struct Client<T> {
@@ -56,21 +58,32 @@
     used: Cell<Instant>,
     /// A job of it has been run: it is what it says. When room is needed, it goes last.
     proved: Cell<bool>,
+    /// How often it has asked whether this instance is well.
+    checks: Cell<u32>,
     wrong: Cell<u32>,
     bounced: Cell<u32>,
     /// Since when a message is awaited that has begun, or the first one.
     awaited: Cell<Option<Instant>>,
     /// Found late once already: after a pause of the process, what came meanwhile is read first.
     late: Cell<bool>,
-    /// Why it is to be closed. Rung to close it.
-    close_for: Cell<Option<ConnectionEnd>>,
-    closing: Bell,
+    /// Its reader waits for bytes: of what has come, all is taken up.
+    waits: Cell<bool>,
+    /// Why it is to be ended, once nothing is owed on it. Rung for the reader to hear.
+    end_for: Cell<Option<ConnectionEnd>>,
+    asked_to_end: Bell,
+    /// Half-closed: what still comes is read and dropped.
+    half_closed: Cell<bool>,
+    let_go: Bell,
+    deaf: Bell,
 }
 
 impl<T: Clone + PartialEq> Client<T> {
+    /// After the half-close nothing is owed, and nothing can be said any more.
     pub fn put(&self, message: &str) {
         self.used.set(Instant::now());
-        self.outbox.put(message.as_bytes());
+        if !self.half_closed.get() {
+            self.outbox.put(message.as_bytes());
+        }
     }
 
     /// Opens a call; `false` if one with its number is open.
@@ -92,9 +105,30 @@
         self.closed_one.ring();
     }
 
-    /// Nothing is owed on it: no call is open and every answer was handed to the system.
+    /// Nothing is owed on it: all that was read is taken up, no call is open, every answer was handed to the system.
     pub fn is_quiet(&self) -> bool {
-        self.open.borrow().is_empty() && self.outbox.unwritten() == 0
+        self.waits.get() && self.open.borrow().is_empty() && self.outbox.unwritten() == 0
+    }
+
+    /// It asked for a health check.
+    pub fn checks(&self) {
+        self.checks.set(self.checks.get().saturating_add(1));
+    }
+
+    /// It stands, and nothing is owed on it.
+    fn may_end(&self) -> bool {
+        self.is_quiet() && !self.half_closed.get()
+    }
+
+    /// It has come back for another check, on which it depends whether anybody is sent here. One that asked once and
+    /// stays is as idle as one that says nothing.
+    fn watches_health(&self) -> bool {
+        !self.proved.get() && self.checks.get() > 1
+    }
+
+    /// Nothing is owed on it, and it is not idle only because a message of it has begun.
+    fn is_unused(&self) -> bool {
+        self.may_end() && !(self.proved.get() && self.awaited.get().is_some())
     }
 
     /// A job of it has been run.
@@ -122,9 +156,23 @@
         self.wrong.get() > WRONG_MOST
     }
 
-    fn close_for(&self, end: ConnectionEnd) {
-        self.close_for.set(Some(end));
-        self.closing.ring();
+    /// Asks its reader to end it. What has come by then is read first, and a connection that is in use goes on.
+    fn end_for(&self, end: ConnectionEnd) {
+        self.end_for.set(Some(end));
+        self.asked_to_end.ring();
+    }
+
+    /// Polled only when there is nothing to read.
+    async fn asked_to_end(&self) -> Result<(), ConnectionEnd> {
+        self.waits.set(true);
+        loop {
+            if let Some(end) = self.end_for.take()
+                && self.is_quiet()
+            {
+                return Err(end);
+            }
+            self.asked_to_end.heard().await;
+        }
     }
 
     /// Waits while it has as many calls open as it may.
@@ -137,9 +185,6 @@
 
     /// What is found when it is looked at now and then: an end that is due, if any.
     fn overdue(&self) -> Option<ConnectionEnd> {
-        if self.outbox.stuck_for() >= DEAF_FOR {
-            return Some(ConnectionEnd::Slow);
-        }
         let late = self.awaited.get().is_some_and(|since| since.elapsed() >= MESSAGE_WITHIN);
         if self.is_quiet() && self.late.replace(late) && late {
             return Some(ConnectionEnd::Slow);
@@ -164,15 +209,21 @@
             if !self.proved.get() && self.bounced.get() > BOUNCED_MOST {
                 Timer::after(PACE).await;
             }
-            // A message may take its time to begin, but not to end.
-            match source.fill_buf().await {
-                Ok([]) => {}
-                Ok(_) => self.awaited.set(Some(self.awaited.get().unwrap_or_else(Instant::now))),
-                Err(error) => return ConnectionEnd::of(&error),
-            }
-            match read_line(&mut source, &mut line, longest).await {
+            let message = async {
+                // A message may take its time to begin, but not to end.
+                match source.fill_buf().await {
+                    Ok([]) => {}
+                    Ok(_) => self.awaited.set(Some(self.awaited.get().unwrap_or_else(Instant::now))),
+                    Err(error) => return Err(ConnectionEnd::of(&error)),
+                }
+                read_line(&mut source, &mut line, longest).await
+            };
+            let came = or(message, self.asked_to_end()).await;
+            self.waits.set(false);
+            match came {
                 Ok(()) => {
                     self.awaited.set(None);
+                    self.end_for.set(None);
                     on_line(&line).await;
                 }
                 Err(ConnectionEnd::Reset) => return ConnectionEnd::Reset,
@@ -184,31 +235,32 @@
             // One that always has more to read lets the others have their turn.
             yield_now().await;
         };
+        // The one way in which a connection ends from here, whatever for: no further message is taken up, what is owed
+        // is written, the peer hears the end, and what it still sends is read and dropped.
         self.awaited.set(None);
         if let Some(words) = last_words(end) {
             self.put(&words);
         }
-        // Nothing more is taken from it, but it may still read what it is owed.
         let broke_rules = matches!(end, ConnectionEnd::TooLong | ConnectionEnd::Misused);
         while !self.open.borrow().is_empty() && (!broke_rules || self.proved.get()) {
             self.closed_one.heard().await;
         }
         self.outbox.emptied().await;
-        if broke_rules {
-            let _ = socket.get_ref().shutdown(Shutdown::Write);
-            let rest = async {
-                let mut left = LINGER_BYTES;
-                while matches!(source.fill_buf().await, Ok(bytes) if !bytes.is_empty()) && left > 0 {
-                    let read = source.buffer().len();
-                    left = left.saturating_sub(read);
-                    source.consume(read);
-                }
-            };
-            or(rest, async {
-                Timer::after(LINGER).await;
-            })
-            .await;
-        }
+        let _ = socket.get_ref().shutdown(Shutdown::Write);
+        self.half_closed.set(true);
+        self.waits.set(true);
+        let rest = async {
+            let mut left = LINGER_BYTES;
+            while matches!(source.fill_buf().await, Ok(bytes) if !bytes.is_empty()) && left > 0 {
+                let read = source.buffer().len();
+                left = left.saturating_sub(read);
+                source.consume(read);
+            }
+        };
+        let late = async {
+            Timer::after(LINGER).await;
+        };
+        or(rest, or(late, self.let_go.heard())).await;
         end
     }
 }
@@ -217,6 +269,8 @@
 pub struct Clients<T> {
     table: RefCell<BTreeMap<u64, Rc<Client<T>>>>,
     numbers: Cell<u64>,
+    /// Accepted, and not in the table yet.
+    coming: Cell<usize>,
     pub most: usize,
     /// What each new connection is told first.
     greeting: RefCell<Option<String>>,
@@ -229,14 +283,25 @@
         Clients {
             table: RefCell::default(),
             numbers: Cell::new(0),
+            coming: Cell::new(0),
             most,
             greeting: RefCell::default(),
             turned_out: Cell::new(0),
         }
     }
 
+    /// From when they are accepted.
     pub fn count(&self) -> usize {
-        self.table.borrow().len()
+        self.table.borrow().len() + self.coming.get()
+    }
+
+    /// One was accepted: it is served, or didn't come about, as is told later.
+    pub fn comes(&self) {
+        self.coming.set(self.coming.get() + 1);
+    }
+
+    pub fn came(&self) {
+        self.coming.set(self.coming.get().saturating_sub(1));
     }
 
     /// Tells all clients, and each that connects from now on.
@@ -246,7 +311,15 @@
     }
 
     pub fn all_quiet(&self) -> bool {
-        self.table.borrow().values().all(|client| client.is_quiet())
+        self.coming.get() == 0 && self.table.borrow().values().all(|client| client.is_quiet())
+    }
+
+    /// Ends all on which nothing is owed: their peers were told that no more is to come. One that was just opened may
+    /// have its message on the way.
+    pub fn end_quiet(&self) {
+        let ends =
+            |client: &&Rc<Client<T>>| client.used.get().elapsed() >= CROSSES_WITHIN && client.may_end();
+        self.table.borrow().values().filter(ends).for_each(|client| client.end_for(ConnectionEnd::Idle));
     }
 
     /// Looks now and then at how long connections have kept silent, for good.
@@ -254,26 +327,36 @@
         loop {
             Timer::after(LOOK_EVERY).await;
             for client in self.table.borrow().values() {
-                if let Some(end) = client.overdue() {
-                    client.close_for(end);
+                if client.outbox.stuck_for() >= DEAF_FOR {
+                    client.deaf.ring();
+                } else if let Some(end) = client.overdue().filter(|_| client.may_end()) {
+                    client.end_for(end);
                 }
             }
         }
     }
 
-    /// Closes some connections that have nothing open, the ones that were idle longest. A peer whose jobs run
-    /// makes room only where all do: a flood of others is waited for.
+    /// Ends some connections that are unused, the ones that were idle longest: first of peers that do nothing, then of
+    /// those that watch this instance's health, last of those whose jobs run. While some of the former are only too young,
+    /// they are waited for, which is short; more than a few that watch health are a flood as well, and wait for nobody.
     pub fn make_room(&self) {
         let table = self.table.borrow();
-        let quiet = || table.values().filter(|client| client.is_quiet());
-        let all_proved = quiet().all(|client| client.proved.get());
-        let unused = |client: &&Rc<Client<T>>| {
-            client.proved.get() == all_proved && client.used.get().elapsed() >= IDLE_AT_LEAST
+        let ending = table.values().filter(|client| client.half_closed.get());
+        let ending = ending.map(|client| client.let_go.ring()).count();
+        let unused = || table.values().filter(|client| client.is_unused());
+        let flood = unused().filter(|client| client.watches_health()).count() > ROOM;
+        let rank = |client: &Client<T>| match client.proved.get() {
+            true => 2,
+            false => u8::from(client.watches_health() && !flood),
         };
-        let mut idle: Vec<_> = quiet().filter(unused).collect();
-        idle.sort_by_key(|client| client.used.get());
-        let most = if all_proved { 1 } else { ROOM };
-        idle.iter().take(most).for_each(|client| client.close_for(ConnectionEnd::Idle));
+        let soon = (ending + self.coming.get() > 0).then_some(0);
+        let Some(first) = unused().map(|client| rank(client)).chain(soon).min() else { return };
+        let may_go =
+            |client: &&Rc<Client<T>>| rank(client) == first && client.used.get().elapsed() >= IDLE_AT_LEAST;
+        let mut idle: Vec<_> = unused().filter(may_go).collect();
+        idle.sort_by_key(|client| (client.checks.get(), client.used.get()));
+        let most = if first > 0 { 1 } else { ROOM };
+        idle.iter().take(most).for_each(|client| client.end_for(ConnectionEnd::Idle));
     }
 
     /// Serves one connection until it ends, and gives what was open on it then. `last_words` gives the line that
@@ -296,27 +379,27 @@
             closed_one: Bell::default(),
             used: Cell::new(Instant::now()),
             proved: Cell::new(false),
+            checks: Cell::new(0),
             wrong: Cell::new(0),
             bounced: Cell::new(0),
             awaited: Cell::new(Some(Instant::now())),
             late: Cell::new(false),
-            close_for: Cell::new(None),
-            closing: Bell::default(),
+            waits: Cell::new(false),
+            end_for: Cell::new(None),
+            asked_to_end: Bell::default(),
+            half_closed: Cell::new(false),
+            let_go: Bell::default(),
+            deaf: Bell::default(),
         });
         if let Some(greeting) = &*self.greeting.borrow() {
             client.put(greeting);
         }
         self.table.borrow_mut().insert(number, client.clone());
-        let closed = async {
-            loop {
-                client.closing.heard().await;
-                // It may have come into use meanwhile.
-                if let Some(end) = client.close_for.take()
-                    && (client.is_quiet() || client.outbox.stuck_for() >= DEAF_FOR)
-                {
-                    break end;
-                }
-            }
+        self.came();
+        // A peer that takes nothing can't be told that it ends.
+        let deaf = async {
+            client.deaf.heard().await;
+            ConnectionEnd::Slow
         };
         let read = client.read(
             source,
@@ -325,7 +408,7 @@
             async |line: &[u8]| on_line(&client, line).await,
             &last_words,
         );
-        let end = or(or(closed, read), client.outbox.clone().writer_to(tasks, sink)).await;
+        let end = or(or(deaf, read), client.outbox.clone().writer_to(tasks, sink)).await;
         if matches!(end, ConnectionEnd::Slow | ConnectionEnd::TooLong | ConnectionEnd::Misused) {
             self.turned_out.set(self.turned_out.get() + 1);
         }
--- a/crates/hazelgrade-server/src/transport/listener.rs
+++ b/crates/hazelgrade-server/src/transport/listener.rs
@@ -44,12 +44,20 @@
     }
 }
 
-/// Takes what the system has accepted already, without waiting for more.
-pub fn take_backlog(listener: &Async<TcpListener>, on_stream: impl Fn(Async<TcpStream>)) {
-    while let Ok((stream, _)) = listener.get_ref().accept() {
-        match Async::new(stream) {
-            Ok(stream) => on_stream(stream),
-            Err(error) => tracing::warn!(%error, "an accepted connection could not be used"),
+/// Takes what the system has accepted already, as far as there is room, without waiting for more; `true` once that is all.
+pub fn take_backlog<T: Clone + PartialEq>(
+    listener: &Async<TcpListener>,
+    clients: &Clients<T>,
+    on_stream: impl Fn(Async<TcpStream>),
+) -> bool {
+    while clients.count() < clients.most {
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => match Async::new(stream) {
+                Ok(stream) => on_stream(stream),
+                Err(error) => tracing::warn!(%error, "an accepted connection could not be used"),
+            },
+            Err(error) => return error.kind() == io::ErrorKind::WouldBlock,
         }
     }
+    false
 }
--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -250,6 +250,10 @@
         self.reader.get_ref()
     }
 
+    pub fn reader(&mut self) -> &mut BufReader<TcpStream> {
+        &mut self.reader
+    }
+
     pub fn write(&mut self, text: &str) {
         self.stream().write_all(text.as_bytes()).expect("it takes bytes");
     }
--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -1,16 +1,22 @@
 //! Two things that happen in the same moment: each test forces the crossing that `docs/design/crossings.md` names.
 
 use crate::common::*;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer, block_on};
+use futures_lite::future::yield_now;
 use hazelgrade::desk::JobId;
 use hazelgrade::time::{Span, Time};
+use hazelgrade_net::wire::Wire;
 use hazelgrade_server::routing::repeats::Repeats;
+use hazelgrade_server::transport::clients::{Client, Clients};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::Command;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 fn ended(cursor: u64, id: &str, fate: &str) -> Value {
     json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": fate, "lasted": 9, "arg": "b25l"})
@@ -28,6 +34,242 @@
     assert_eq!(client.hear()["result"]["body"], "b25l");
 }
 
+/// Idle for longer than a message may be on its way.
+const IDLE: Duration = Duration::from_millis(300);
+
+/// One connection in the table of connections, without a process: its far end, and what came of it.
+struct Bench {
+    tasks: Rc<LocalExecutor<'static>>,
+    clients: Rc<Clients<u64>>,
+    lines: Rc<RefCell<Vec<String>>>,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        Bench {
+            tasks: Rc::new(LocalExecutor::new()),
+            clients: Rc::new(Clients::new(4)),
+            lines: Rc::default(),
+        }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let far = TcpStream::connect(listener.local_addr().expect("bound")).expect("accepted");
+        let near = Async::new(listener.accept().expect("connected").0).expect("a socket");
+        let (tasks, clients, lines) = (self.tasks.clone(), self.clients.clone(), self.lines.clone());
+        clients.comes();
+        let serve = async move {
+            let on_line = async |client: &Rc<Client<u64>>, line: &[u8]| {
+                lines.borrow_mut().push(String::from_utf8_lossy(line).trim_end().to_owned());
+                match line {
+                    b"check\n" => client.checks(),
+                    b"job\n" => client.prove(),
+                    _ => {}
+                }
+                client.put("answer\n");
+            };
+            clients.serve(&tasks, Wire::plain(near), 1000, on_line, |_| None).await;
+        };
+        self.tasks.spawn(serve).detach();
+        far.set_nonblocking(true).expect("a socket");
+        far
+    }
+
+    fn lines(&self) -> Vec<String> {
+        self.lines.borrow().clone()
+    }
+
+    /// Has a line answered on a connection, so many times.
+    async fn ask(&self, mut far: &TcpStream, line: &str, times: usize) {
+        for _ in 0..times {
+            far.write_all(line.as_bytes()).expect("it stands");
+            comes(|| read(far).is_ok_and(|bytes| bytes == b"answer\n")).await;
+        }
+    }
+
+    /// Asks for room once, and says which of these were ended for it.
+    async fn ended(&self, of: &[&TcpStream]) -> Vec<usize> {
+        self.clients.make_room();
+        // No time passes here but what their tasks take to run.
+        for _ in 0..200 {
+            yield_now().await;
+        }
+        (0..of.len()).filter(|at| read(of[*at]) == Ok(Vec::new())).collect()
+    }
+}
+
+/// Gives way until something is so.
+async fn comes(mut so: impl FnMut() -> bool) {
+    let by = Instant::now() + SOON;
+    while !so() {
+        assert!(Instant::now() < by, "it does not come");
+        Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+fn read(mut far: &TcpStream) -> Result<Vec<u8>, ErrorKind> {
+    let mut bytes = [0; 100];
+    far.read(&mut bytes).map(|count| bytes[..count].to_vec()).map_err(|error| error.kind())
+}
+
+#[test]
+fn what_came_before_an_idle_close_is_served_and_what_comes_after_it_never_is() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let mut far = bench.connect();
+        Timer::after(IDLE).await;
+        // The message is with the system as the close is asked for; the reader has not been woken yet.
+        far.write_all(b"early\n").expect("it stands");
+        bench.clients.make_room();
+        comes(|| read(&far).is_ok_and(|bytes| bytes == b"answer\n")).await;
+        assert_eq!(bench.lines(), ["early"]);
+        Timer::after(IDLE).await;
+        bench.clients.make_room();
+        comes(|| read(&far) == Ok(Vec::new())).await;
+        // Half-closed: what crosses is read and dropped, and resets nothing.
+        for line in [b"late\n", b"last\n"] {
+            far.write_all(line).expect("it is still read");
+            for _ in 0..100 {
+                yield_now().await;
+            }
+        }
+        assert_eq!((read(&far), bench.lines()), (Ok(Vec::new()), vec!["early".to_owned()]));
+        assert_eq!(bench.clients.count(), 1);
+        drop(far);
+        comes(|| bench.clients.count() == 0).await;
+    }));
+}
+
+#[test]
+fn a_peer_that_stays_after_the_half_close_is_let_go_when_there_is_no_room_and_else_after_its_time() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let idle = [bench.connect(), bench.connect()];
+        Timer::after(IDLE).await;
+        bench.clients.make_room();
+        comes(|| idle.iter().all(|far| read(far) == Ok(Vec::new()))).await;
+        // No time passes here but what their tasks take to run.
+        bench.clients.make_room();
+        for _ in 0..100 {
+            yield_now().await;
+        }
+        assert_eq!(bench.clients.count(), 0);
+        let _stays = bench.connect();
+        Timer::after(IDLE).await;
+        bench.clients.make_room();
+        comes(|| bench.clients.count() == 0).await;
+    }));
+}
+
+/// Found by the sockets' rude day: with a table full of those that had asked for one check and stayed, room was waited for as
+/// long as any other connection was young, so that new ones came at four a second and what waited with the system was lost.
+#[test]
+fn those_that_asked_once_and_stay_make_room_at_once_and_one_that_comes_back_for_checks_goes_after_them() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let (health, proved) = (bench.connect(), bench.connect());
+        let stay = [bench.connect(), bench.connect()];
+        bench.ask(&health, "check\n", 2).await;
+        bench.ask(&proved, "job\n", 1).await;
+        for far in &stay {
+            bench.ask(far, "check\n", 1).await;
+        }
+        Timer::after(IDLE).await;
+        let young = bench.connect();
+        bench.ask(&young, "hello\n", 1).await;
+        let ended = bench.ended(&[&stay[0], &stay[1], &health, &proved, &young]).await;
+        assert_eq!(ended, [0, 1]);
+        // What is left goes one by one, those whose jobs run last, and only once there is nothing that is too young.
+        drop(stay);
+        comes(|| bench.clients.count() == 3).await;
+        assert_eq!(bench.ended(&[&health, &proved, &young]).await, [0; 0]);
+        drop(young);
+        comes(|| bench.clients.count() == 2).await;
+        assert_eq!(bench.ended(&[&health, &proved]).await, [0]);
+        drop(health);
+        comes(|| bench.clients.count() == 1).await;
+        assert_eq!(bench.ended(&[&proved]).await, [0]);
+    }));
+}
+
+#[test]
+fn more_that_come_back_for_checks_than_can_be_of_use_wait_for_no_others() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let crowd: Vec<_> = (0..17).map(|_| bench.connect()).collect();
+        for (at, far) in crowd.iter().enumerate() {
+            bench.ask(far, "check\n", if at == 0 { 4 } else { 2 }).await;
+        }
+        Timer::after(IDLE).await;
+        let _young = bench.connect();
+        let all: Vec<_> = crowd.iter().collect();
+        // The one that has asked for longest goes last.
+        assert_eq!(bench.ended(&all).await, (1..17).collect::<Vec<_>>());
+    }));
+}
+
+#[test]
+fn a_connection_whose_jobs_run_is_not_idle_while_a_message_of_it_is_on_its_way() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let mut far = bench.connect();
+        bench.ask(&far, "job\n", 1).await;
+        Timer::after(IDLE).await;
+        far.write_all(b"jo").expect("it stands");
+        for _ in 0..200 {
+            yield_now().await;
+        }
+        assert_eq!(bench.ended(&[&far]).await, [0; 0]);
+        bench.ask(&far, "b\n", 1).await;
+        assert_eq!(bench.lines(), ["job", "job"]);
+    }));
+}
+
+#[test]
+fn a_message_that_was_read_and_is_not_a_job_yet_keeps_its_connection() {
+    let bench = Bench::new();
+    block_on(bench.tasks.run(async {
+        let mut far = bench.connect();
+        Timer::after(IDLE).await;
+        // Two in one write: the second is in the buffer while the first is taken up.
+        far.write_all(b"one\ntwo\n").expect("it stands");
+        let lines = bench.lines.clone();
+        comes(|| {
+            bench.clients.make_room();
+            bench.clients.end_quiet();
+            lines.borrow().len() == 2
+        })
+        .await;
+        assert_eq!(bench.lines(), ["one", "two"]);
+    }));
+}
+
+#[test]
+fn a_drain_ends_clients_at_rest_by_a_half_close_and_what_they_send_then_is_not_run() {
+    let mut instance = Instance::start();
+    let (mut link, mut rests) = instance.ready();
+    serve_one(&mut link, &mut rests, 1, "a1");
+    let mut halfway = instance.client();
+    serve_one(&mut link, &mut halfway, 2, "a2");
+    let late = job(2, "read", "late").to_string();
+    halfway.write(&late[..20]);
+    instance.signal("TERM");
+    for client in [&mut rests, &mut halfway] {
+        assert_eq!(client.hear()["method"], "draining");
+        assert!(client.is_closed());
+    }
+    // Both hold their side open and write in the moment in which they see the end; neither is reset.
+    rests.say(&job(1, "read", "late"));
+    halfway.write(&format!("{}\n", &late[20..]));
+    assert!(rests.is_closed() && halfway.is_closed(), "reset");
+    drop((rests, halfway));
+    assert_eq!(instance.exit_code(), Some(0));
+    let mut rest = String::new();
+    while let Ok(1..) = std::io::BufRead::read_line(link.reader(), &mut rest) {}
+    assert!(!rest.contains("late"), "{rest}");
+}
+
 #[test]
 fn a_link_reset_between_a_command_and_its_notice_in_a_drain_loses_nothing() {
     // The stop is far off: a machine that is busy with other tests is not what this is about.
@@ -164,6 +406,47 @@
     assert_eq!(client.check(1)["result"]["up"], true);
 }
 
+#[test]
+fn a_flood_of_idle_connections_at_the_smallest_limit_stops_neither_checks_nor_new_callers_nor_calls_below() {
+    let instance = Instance::start_with(|told| {
+        told["limits"]["sockets"] = json!(32);
+        // Nobody is there to be told of it.
+        told["registry"] = json!("127.0.0.1:9");
+    });
+    let (mut link, _first) = instance.ready();
+    let mut health = instance.client();
+    for call in [1, 2] {
+        assert_eq!(health.check(call)["result"]["up"], true);
+    }
+    // One in two of them asks for a check, once, as soon as it is served.
+    let mut crowd: Vec<Peer> = (0..24).map(|_| instance.client()).collect();
+    crowd
+        .iter_mut()
+        .step_by(2)
+        .for_each(|peer| peer.say(&json!({"jsonrpc": "2.0", "id": 1, "method": "ping"})));
+    // Those that came first go first; the check asked before all of them.
+    assert!(crowd[1].is_closed());
+    assert_eq!(health.check(3)["result"]["up"], true, "the connection of the health check went");
+    let mut late = instance.client();
+    let mut below = Below::of(&instance.database);
+    for number in 1..=8 {
+        let id = format!("a{number}");
+        late.say(&job(number, "read", &id));
+        assert_eq!(link.command()["handle"], id);
+        link.say(&json!({"event": "CALLOUT", "cursor": number, "handle": id, "arg": "cXVlcnk="}));
+        below.call(&id);
+    }
+    // The link is replaced beside all of them.
+    drop(link);
+    let (mut link, _) = instance.link();
+    link.say(&welcome());
+    for number in 1..=8 {
+        link.say(&ended(8 + number, &format!("a{number}"), "good"));
+        assert_eq!(late.hear()["result"]["body"], "b25l");
+    }
+    drop(crowd);
+}
+
 #[test]
 fn a_numbered_job_under_the_id_of_one_that_is_over_is_answered_from_what_is_kept_and_not_run() {
     let instance = Instance::start();
--- a/crates/hazelgrade-server/tests/instance/serving.rs
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -1,6 +1,8 @@
 //! A job from its arrival to its answer, and what may go wrong with each of those it meets on the way.
 
 use crate::common::*;
+use hazelgrade::desk::JobId;
+use hazelgrade_server::transport::clients::Clients;
 use hazelgrade_server::transport::listener::{bind, take_backlog};
 use serde_json::{Value, json};
 use std::net::Shutdown;
@@ -434,9 +436,22 @@
     let listener = bind(free_address()).expect("an address");
     let address = listener.get_ref().local_addr().expect("bound");
     let early: Vec<_> = (0..3).map(|_| std::net::TcpStream::connect(address).expect("accepted")).collect();
-    let taken = std::cell::Cell::new(0);
-    take_backlog(&listener, |_| taken.set(taken.get() + 1));
-    assert_eq!(taken.get(), early.len());
+    let clients: Clients<JobId> = Clients::new(2);
+    let taken = || {
+        let taken = std::cell::Cell::new(0);
+        let all = take_backlog(&listener, &clients, |_| {
+            clients.comes();
+            taken.set(taken.get() + 1);
+        });
+        (taken.get(), all)
+    };
+    assert_eq!(taken(), (2, false));
+    // Only as room comes: what doesn't fit stays with the system.
+    clients.came();
+    assert_eq!(taken(), (1, false));
+    clients.came();
+    assert_eq!(taken(), (0, true));
+    drop(early);
 }
 
 /// Found by groups of processes under faults: jobs that had lain unread past their cut-off while the process stood still were
