The call queue goes by the goal time, and one slow call no longer ends all later ones

`round` leaves out a call with less than half the mean latency left; the mean came from the calls that the stop had lengthened, no later call was made, so nothing ever corrected it. (2) With all 9 units used by the books, 1 to 4 calls were at the dependency for 30 s: `call_wait` gave the cut-off, three goal times, to the queue's depth and budget, so each job came to its call with less time left than calls take; nearly all were given up, and a unit lingers 600 ms after each. Ruled out: CPU (six quiet cores), the division (5 and 4 granted), the cut to the keeper, permits.

Change, control.rs: with no call in hand the newest that waits is tried, whatever is expected; `call_wait` goes no further than an answer is worth anything. FINISH_PART, a factor of 1, is gone. `Dependency::mean` gave no mean and is now `call_seconds`.

Tests, each seen to fail without: after_calls_that_took_longer..., the_call_queue_is_no_deeper.... The group's test keeps its bound and asks besides that half of the whole is in use and that nodes 0 and 2 answer 98 in 100 by the goal time and 500 ms.

--- a/crates/hazelgrade-rig/src/account.rs
+++ b/crates/hazelgrade-rig/src/account.rs
@@ -243,12 +243,22 @@
 
     /// The part of a node's jobs, sent in this time, that were satisfied within `goal`; none if it had none.
     pub fn part_served(&self, node: usize, from: Time, to: Time, goal: Span) -> Option<f64> {
+        self.part(node, from, to, |job| job.fate == Fate::Satisfied && job.after <= goal)
+    }
+
+    /// What was answered by then, whatever the answer, in parts of all.
+    pub fn part_answered(&self, node: usize, from: Time, to: Time, within: Span) -> Option<f64> {
+        self.part(node, from, to, |job| job.fate != Fate::Lost && job.after <= within)
+    }
+
+    fn part(&self, node: usize, from: Time, to: Time, so: impl Fn(&Job) -> bool) -> Option<f64> {
         let sent =
             |job: &&Job| job.node == node && job.sent >= from && job.sent < to && job.fate != Fate::Crossed;
-        let (all, served) = self.jobs.iter().filter(sent).fold((0.0, 0.0), |(all, served), job| {
-            let good = job.fate == Fate::Satisfied && job.after <= goal;
-            (all + 1.0, served + f64::from(u8::from(good)))
-        });
-        (all > 0.0).then(|| served / all)
+        let (all, those) = self
+            .jobs
+            .iter()
+            .filter(sent)
+            .fold((0.0, 0.0), |(all, those), job| (all + 1.0, those + f64::from(u8::from(so(job)))));
+        (all > 0.0).then(|| those / all)
     }
 }
--- a/crates/hazelgrade-server/tests/budgets/main.rs
+++ b/crates/hazelgrade-server/tests/budgets/main.rs
@@ -92,6 +92,9 @@
     group.service.word(word)
 }
 
+/// Of the use case that callers ask for.
+const GOAL_MS: f64 = 1000.0;
+
 /// Nodes die, leave, stand still past their lease, are cut off one way, have clocks that differ, and come twice under one name.
 #[test]
 fn parts_move_with_nodes_that_come_go_and_stand_still() {
@@ -100,6 +103,9 @@
     let mut group = group(3, 60.0, setting);
     assert!(divided(&mut group, 9), "{}", group.service.budgets());
     let began = now();
+    let call_seconds =
+        |group: &Group| group.shared.as_ref().map_or(0.0, |shared| shared.dependency.call_seconds());
+    let before = call_seconds(&group);
 
     // Killed with its part in hand: it comes back under its name, as another.
     cause(&mut group, Fault::Kill { node: 0 });
@@ -156,11 +162,18 @@
     };
     assert!(group.comes(SOON, left), "{:?}", word(&group, Word::History));
     let over = now();
+    let used = (call_seconds(&group) - before) * 1000.0 / over.since(began).as_ms();
     let account = group.finish();
     kept(&account);
-    // Cut off from the keeper alone, a node serves without its calls: nothing is lost, and little is late.
-    let part = account.part_served(0, began, over, ms(1000.0)).unwrap_or(0.0);
+    // All through it most of the whole is in use, though a third of it lies still after each fault until its lease is over.
+    assert!(used >= 0.5 * f64::from(setting.whole), "{used} calls in hand in the mean");
+    let part = account.part_served(0, began, over, ms(GOAL_MS)).unwrap_or(0.0);
     assert!(part >= 0.5, "node 0 served {part}");
+    for node in [0, 2] {
+        // What it has no call for is given up by its goal time, also by the one that is cut off from the keeper.
+        let part = account.part_answered(node, began, over, ms(GOAL_MS + 500.0)).unwrap_or(0.0);
+        assert!(part >= 0.98, "node {node} answered {part}");
+    }
 }
 
 /// The keeper stands still, dies, comes back with an old store, a copied one, and none.
--- a/crates/hazelgrade-standins/src/dependency.rs
+++ b/crates/hazelgrade-standins/src/dependency.rs
@@ -118,8 +118,8 @@
         self.shared.lock().calls
     }
 
-    /// Calls in hand in the mean since this was asked last.
-    pub fn mean(&self) -> f64 {
+    /// Calls in hand, summed up over time since the start: by seconds.
+    pub fn call_seconds(&self) -> f64 {
         let mut state = self.shared.lock();
         state.account();
         state.area
--- a/crates/hazelgrade/src/control.rs
+++ b/crates/hazelgrade/src/control.rs
@@ -27,8 +27,6 @@
 const RULE_ROOM: f64 = 0.8;
 /// Calls that take this many times what they took at best show that what lies below is crowded.
 const CALLS_CROWDED: f64 = 4.0;
-/// Times the mean core time that a job keeps to finish, once calls take twice their best: a whole run's.
-const FINISH_PART: f64 = 1.0;
 /// Times the mean latency: a call that takes longer never comes, and holds a permit.
 const CALL_PATIENCE: f64 = 16.0;
 /// Part of the mean latency that must be left for a call to be tried that may be left out: less is in vain.
@@ -109,9 +107,8 @@
         most < self.permits() && (self.in_hand + self.lingering(now)) as f64 >= most
     }
 
-    /// A call went through. While jobs wait and calls take about what they take at best, the dependency has
-    /// room and the permits grow, at first doubling in a round trip; while they take much longer, they shrink
-    /// to half the start at the least, so that what lies below is not pushed further down by its slowness.
+    /// A call went through. While jobs wait and calls are about as fast as at best, permits grow, doubling in
+    /// a round trip at first; while calls are much slower they shrink, to half the start, not to add to it.
     fn tune(&mut self, now: Time) {
         // A mean over fewer calls than the start of the permits is chance.
         let start = self.below.share.unwrap_or(UNTOLD_PERMITS);
@@ -544,9 +541,12 @@
                 _ => {}
             }
         }
-        for id in self.pick(|held| held.stage == Stage::Queued && held.case.part_without_call > 0.0) {
-            if self.call_until(now, &id) <= now + self.gate.latency.usual(now) * LEAST_TRY {
-                self.no_call(now, &id, out);
+        let queued = self.pick(|held| held.stage == Stage::Queued && held.case.part_without_call > 0.0);
+        // With none in hand the newest is tried all the same: after one slow call none would be ever again.
+        let judged = queued.len().saturating_sub(usize::from(self.gate.in_hand == 0));
+        for id in &queued[..judged] {
+            if self.call_until(now, id) <= now + self.gate.latency.usual(now) * LEAST_TRY {
+                self.no_call(now, id, out);
             }
         }
         for id in self.pick(|held| self.useless_from(held) <= now) {
@@ -586,19 +586,20 @@
     }
 
     /// Exception: while calls are slow, one that may be left out is waited for only as long as leaves time to
-    /// finish without it. Guards against anything that makes calls late; hurts where they just made it.
+    /// finish, a mean core time at most. Guards against what makes calls late; hurts where they just made it.
     fn call_until(&mut self, now: Time, id: &JobId) -> Time {
         let Some(held) = self.jobs.get(id) else { return now };
         let (until, use_case, held_case) = (self.useless_from(held), held.job.use_case, held.case.clone());
         let slow = self.gate.best.zip(self.gate.latency.mean(now));
         let slow = slow.map_or(0.0, |(best, mean)| (mean.as_ms() / best.max(0.001) - 1.0).clamp(0.0, 1.0));
         let slow = if held_case.part_without_call > 0.0 { slow } else { 0.0 };
-        until - self.core_time(now, use_case) * (FINISH_PART * slow)
+        until - self.core_time(now, use_case) * slow
     }
 
-    /// The wait that the call queue's budget and depth go by.
+    /// The wait that the call queue's budget and depth go by: no longer than an answer is worth anything.
     fn call_wait(&self, now: Time, held: &InHand) -> Span {
-        held.job.waits_until.map_or(held.case.cut_off, |until| until.since(now))
+        let waits = held.job.waits_until.map_or(held.case.cut_off, |until| until.since(now));
+        waits.min(self.useless_from(held).since(now))
     }
 
     /// Gives the final answer at once: a bounce with when to come back, or, without that and for a job that
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -202,6 +202,39 @@
     assert!(acts.contains(&Act::Skip("none".into())) && made(&acts).is_empty(), "{acts:?}");
 }
 
+/// Found by a group of processes: one that had stood still for two goal times with calls in hand learned that calls take so long, and
+/// made none ever again, as each would have been in vain by what was learned.
+#[test]
+fn after_calls_that_took_longer_than_goals_one_at_a_time_is_tried() {
+    let mut setup = setup();
+    setup.use_cases[0].part_without_call = 0.5;
+    let mut control = setup.control();
+    at_calls(&mut control, 0.0, 0, 1);
+    call_done(&mut control, "c0", 5000.0);
+    let acts = at_calls(&mut control, 60_000.0, 1, 3);
+    assert_eq!(made(&acts), ["c1".into()], "{acts:?}");
+    assert!(acts.contains(&Act::Skip("c2".into())) && acts.contains(&Act::Skip("c3".into())), "{acts:?}");
+    // It was quick, and so is what is learned once the slow one has faded.
+    round(&mut control, at(60_050.0), |inflow| {
+        inflow.call_ended(&"c1".into(), Outcome::Completed, ms(50.0));
+    });
+    assert_eq!(made(&at_calls(&mut control, 60_100.0, 4, 3)).len(), 3);
+}
+
+/// Found by a group of processes past what calls carry: the queue went by the cut-off, three goal times, so that each job came to its call
+/// with less time left than calls take, and nearly all calls were given up.
+#[test]
+fn the_call_queue_is_no_deeper_than_what_goes_through_within_the_goal_time() {
+    let mut setup = setup();
+    setup.machine.memory_kb = 1e6;
+    let mut control = setup.control();
+    at_calls(&mut control, 0.0, 0, 1);
+    call_done(&mut control, "c0", 100.0);
+    // Eight permits and 100 ms a call: 80 in a second, for the 1900 ms that the goal time leaves.
+    let acts = at_calls(&mut control, 200.0, 1, 300);
+    assert_eq!((made(&acts).len(), runs(&acts)), (8, 8 + 152));
+}
+
 /// Found on sockets: calls that were never answered held their permits until the cut-off, and after 25 of them calls
 /// queued by the hundred while what lies below was idle.
 #[test]
