--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -270,6 +270,40 @@
     assert!(!rest.contains("late"), "{rest}");
 }
 
+#[test]
+fn answers_that_a_peer_takes_byte_by_byte_beside_a_drain_come_whole_and_keep_nobody_else_waiting() {
+    let mut instance = Instance::start_with(|told| told["stop_ms"] = json!(20_000));
+    let (mut link, mut client) = instance.ready();
+    client.say(&job(1, "read", "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    let mut slow = instance.client();
+    // It takes nothing, and asks until it is read no further: its answers fill all that the system holds.
+    slow.stream().set_write_timeout(Some(Duration::from_millis(300))).expect("a time-out");
+    let checks = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"ping\"}\n".repeat(1000);
+    while slow.stream().write_all(checks.as_bytes()).is_ok() {}
+    instance.signal("TERM");
+    assert_eq!(client.hear()["method"], "draining");
+    link.say(&ended(1, "a1", "good"));
+    assert_eq!(client.hear()["result"]["body"], "b25l");
+    drop(client);
+    let (mut taken, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        // The first of it byte by byte.
+        let most = if taken.len() < 100_000 { 1 } else { part.len() };
+        match slow.stream().read(&mut part[..most]).expect("no reset") {
+            0 => break,
+            count => taken.extend_from_slice(&part[..count]),
+        }
+    }
+    assert!(taken.ends_with(b"\n"), "cut short");
+    let lines: Vec<Value> =
+        taken.split(|byte| *byte == b'\n').filter_map(|line| serde_json::from_slice(line).ok()).collect();
+    let told = lines.iter().filter(|line| line["method"] == "draining").count();
+    assert_eq!((told, lines.len()), (1, taken.iter().filter(|byte| **byte == b'\n').count()));
+    drop(slow);
+    assert_eq!(instance.exit_code(), Some(0));
+}
+
 #[test]
 fn a_link_reset_between_a_command_and_its_notice_in_a_drain_loses_nothing() {
     // The stop is far off: a machine that is busy with other tests is not what this is about.
