The drain's test of a reset can fail now; guards that were missed are missed no longer

Cause: taking out the drain's end of clients at rest, or its wait for their peers, failed no test. Checked on sockets: once the end of file is read, a reset shows at the next write alone, and a read gives the end again; the test read. So its check could not fail. It writes twice now, and plays up to eight drains, as the process waits for peers a tenth of a second only, which a crowded machine may let pass; without the guard none of them passes. What is put in after a half-close was not missed either, as the test's own ask for room had ended the connection; it asks no more.

Seen to fail with the guard taken out, one by one: the end of clients at rest, the wait for their peers, what is put in after the half-close, what was read counting as unsettled, one just coming counting as unsettled, one just opened in a drain.

--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -290,14 +290,16 @@
         Timer::after(IDLE).await;
         assert_eq!(bench.ended(&[&far]).await, [0]);
         bench.last.borrow().as_ref().expect("it said something").put("draining\n");
-        assert_eq!(bench.ended(&[]).await, [0; 0]);
-        assert_eq!(read(&far), Ok(Vec::new()));
-        drop(far);
+        for _ in 0..200 {
+            yield_now().await;
+        }
+        // It is read on, and not dropped with what its peer may still send.
+        assert_eq!((bench.clients.count(), read(&far)), (1, Ok(Vec::new())));
     }));
 }
 
-#[test]
-fn a_drain_ends_clients_at_rest_by_a_half_close_and_what_they_send_then_is_not_run() {
+/// Two clients at rest see the end of a drain, the second with half a message written, and write on: `true` if neither was reset.
+fn end_of_a_drain_resets_nothing() -> bool {
     let mut instance = Instance::start();
     let (mut link, mut rests) = instance.ready();
     serve_one(&mut link, &mut rests, 1, "a1");
@@ -310,15 +312,23 @@
         assert_eq!(client.hear()["method"], "draining");
         assert!(client.is_closed());
     }
-    // Both hold their side open and write in the moment in which they see the end; neither is reset.
-    rests.say(&job(1, "read", "late"));
-    halfway.write(&format!("{}\n", &late[20..]));
-    assert!(rests.is_closed() && halfway.is_closed(), "reset");
+    // Both hold their side open and write in the moment in which they see the end. A reset shows at the write after it.
+    let taken = |client: &Peer, text: &str| client.stream().write_all(text.as_bytes()).is_ok();
+    let whole = job(1, "read", "late").to_string() + "\n";
+    let crossed = taken(&rests, &whole) && taken(&halfway, &format!("{}\n", &late[20..]));
+    let kept = crossed && taken(&rests, &whole) && taken(&halfway, &whole);
     drop((rests, halfway));
     assert_eq!(instance.exit_code(), Some(0));
     let mut rest = String::new();
     while let Ok(1..) = std::io::BufRead::read_line(link.reader(), &mut rest) {}
     assert!(!rest.contains("late"), "{rest}");
+    kept
+}
+
+#[test]
+fn a_drain_ends_clients_at_rest_by_a_half_close_and_what_they_send_then_is_not_run() {
+    // The process waits for their own end for a tenth of a second: a crowded machine may let that pass, a few times.
+    assert!((0..8).any(|_| end_of_a_drain_resets_nothing()), "reset");
 }
 
 #[test]
