--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -170,6 +170,19 @@
     }
 }
 
+/// The run of a job comes to its first call, the reply to it is proved to have arrived, and the link ends.
+pub fn replied_before_the_link_ends<'a>(instance: &'a Instance, mut link: Peer, id: &str) -> Below<'a> {
+    link.say(&json!({"event": "CALLOUT", "cursor": 1, "handle": id, "arg": "cXVlcnk="}));
+    let mut below = Below::of(&instance.database);
+    let place = below.call(id);
+    below.reply(place, &format!("{id} ROWS 0\r\n\r\n"));
+    assert_eq!(link.command()["event"], "RETURN");
+    // Two questions answered in order after it prove that it arrived.
+    link.answer_gauges(2);
+    std::thread::sleep(Duration::from_millis(20));
+    below
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         self.kill();
--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -394,15 +394,7 @@
     let (mut link, mut client) = instance.ready();
     client.say(&job(1, "read", "a1"));
     assert_eq!(link.command()["handle"], "a1");
-    link.say(&json!({"event": "CALLOUT", "cursor": 1, "handle": "a1", "arg": "cXVlcnk="}));
-    let mut below = Below::of(&instance.database);
-    let place = below.call("a1");
-    below.reply(place, "a1 ROWS 0\r\n\r\n");
-    assert_eq!(link.command()["event"], "RETURN");
-    // Two questions answered in order after it prove that it arrived.
-    link.answer_gauges(2);
-    std::thread::sleep(Duration::from_millis(20));
-    drop(link);
+    let _below = replied_before_the_link_ends(&instance, link, "a1");
     let (mut link, _) = instance.link();
     link.say(&welcome());
     link.answer_gauges(3);
--- a/crates/hazelgrade-server/tests/instance/serving.rs
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -96,15 +96,7 @@
     let instance = Instance::start();
     let (mut link, mut client) = instance.ready();
     run_job(&mut link, &mut client, 1, "read", "a1");
-    link.say(&at_call(1, "a1"));
-    let mut below = Below::of(&instance.database);
-    let place = below.call("a1");
-    below.reply(place, "a1 ROWS 0\r\n\r\n");
-    assert_eq!(link.command()["event"], "RETURN");
-    // Two questions answered in order after it prove that it arrived.
-    link.answer_gauges(2);
-    std::thread::sleep(Duration::from_millis(20));
-    drop(link);
+    let _below = replied_before_the_link_ends(&instance, link, "a1");
     let (mut link, _) = instance.link();
     link.say(&json!({"event": "WELCOME", "fate": "old", "lasted": 5}));
     // The first asks whether all is heard; what may be lost would be sent at once after it.
