Documents are written by the TOML library, so that nodes can read budgets by site

What was seen: nodes rejected every streamed budgets document ("duplicate key"), so limits that only the document names, a tenant's jobs a second and retries, bound nobody; budgets named in the operator's file were granted all the same.

Cause: Fields::to_toml wrote fields in the order of their paths. "whole" sorts behind "site/a", so [budget.calls] was opened twice. The last segment of a path was written without quotes as well: a site "eu.west" became a dotted key, "a#b" a comment. Evidence: the status of four nodes at two sites said "turned down", "version 1:12:9: duplicate key", for a document that `check` accepts.

Change: nested tables, written by the toml crate. Serving and identity documents keep their bytes unless a name needs quotes; digests are unchanged. Nothing stored by earlier versions needs migration: as every budgets document has a table of sites, no node has accepted one.

--- a/crates/hazelgrade-config/src/fields.rs
+++ b/crates/hazelgrade-config/src/fields.rs
@@ -3,8 +3,8 @@
 use crate::difference::Difference;
 use crate::scalar::Scalar;
 use crate::version::Digest;
-use serde_json::json;
 use std::collections::BTreeMap;
+use toml::{Table, Value};
 
 /// The fields of a document by path, in the order of their paths.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -84,38 +84,28 @@
         Some(fields)
     }
 
-    /// A document in TOML that reads as the same fields.
+    /// A document in TOML that reads as the same fields. Each table follows an empty line.
     pub fn to_toml(&self) -> String {
-        let mut text = String::new();
-        let mut current_section = String::new();
-        // Fields outside any section come first, as TOML requires.
-        let top_level = self.0.iter().filter(|(path, _)| !path.contains('/'));
-        for (path, value) in top_level.chain(self.0.iter().filter(|(path, _)| path.contains('/'))) {
-            let (section, name) = path.rsplit_once('/').unwrap_or(("", path));
-            if section != current_section {
-                let keys: Vec<String> = section.split('/').map(toml_key).collect();
-                text.push_str(&format!("\n[{}]\n", keys.join(".")));
-                current_section = section.to_owned();
-            }
-            if !name.is_empty() {
-                text.push_str(&format!("{name} = {}\n", toml_value(value)));
-            }
+        let mut document = Table::new();
+        for (path, value) in &self.0 {
+            insert(&mut document, path, value);
         }
-        text
+        let text = document.to_string();
+        if text.starts_with('[') { format!("\n{text}") } else { text }
     }
 }
 
-fn toml_key(segment: &str) -> String {
-    let is_bare = segment.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'-');
-    if is_bare { segment.to_owned() } else { json!(segment).to_string() }
-}
-
-fn toml_value(value: &Scalar) -> String {
-    match value {
-        Scalar::Bool(value) => value.to_string(),
-        Scalar::Number(number) if number.fract() == 0.0 && number.abs() < 1e15 => format!("{number:.0}"),
-        Scalar::Number(number) => format!("{number:?}"),
-        Scalar::Text(text) => json!(text).to_string(),
-        Scalar::TextList(texts) => json!(texts).to_string(),
+/// Inserts a value at a path. A path that ends in `/` stands for its table, which may be empty.
+fn insert(document: &mut Table, path: &str, value: &Scalar) {
+    let (section, name) = path.rsplit_once('/').unwrap_or(("", path));
+    let mut table = document;
+    for segment in section.split('/').filter(|segment| !segment.is_empty()) {
+        let entry = table.entry(segment).or_insert_with(|| Value::Table(Table::new()));
+        // No valid document has a value and a table under one path.
+        let Value::Table(subtable) = entry else { return };
+        table = subtable;
+    }
+    if !name.is_empty() {
+        table.insert(name.to_owned(), value.to_toml());
     }
 }
--- a/crates/hazelgrade-config/src/scalar.rs
+++ b/crates/hazelgrade-config/src/scalar.rs
@@ -2,6 +2,9 @@
 
 use serde_json::{Value, json};
 
+/// Below this, every whole number is exact as a float and as an integer.
+const MAX_EXACT_INTEGER: f64 = 1e15;
+
 /// The value of one field of a document.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Scalar {
@@ -16,6 +19,21 @@
 }
 
 impl Scalar {
+    /// A whole number is written without a fraction.
+    pub(crate) fn to_toml(&self) -> toml::Value {
+        match self {
+            Scalar::Bool(value) => toml::Value::Boolean(*value),
+            Scalar::Number(number) if number.fract() == 0.0 && number.abs() < MAX_EXACT_INTEGER => {
+                toml::Value::Integer(*number as i64)
+            }
+            Scalar::Number(number) => toml::Value::Float(*number),
+            Scalar::Text(text) => toml::Value::String(text.clone()),
+            Scalar::TextList(texts) => {
+                texts.iter().cloned().map(toml::Value::String).collect::<Vec<_>>().into()
+            }
+        }
+    }
+
     pub(crate) fn to_json(&self) -> Value {
         match self {
             Scalar::Bool(value) => json!(value),
--- a/crates/hazelgrade-server/tests/budgets/main.rs
+++ b/crates/hazelgrade-server/tests/budgets/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::expect_used, clippy::too_many_lines)]
 
 use hazelgrade_budget::protocol::OperatorCommand;
+use hazelgrade_config::{Document, Kind};
 use hazelgrade_fakes::executor::{Executor, Workload};
 use hazelgrade_fakes::{free_address, test_environment};
 use hazelgrade_fault_injection::group::Group;
@@ -419,6 +420,53 @@
     kept(&group.finish());
 }
 
+/// How many nodes have the budgets document with this total as their good one, by what both control services say.
+fn nodes_with_good_total(group: &Group, total: u32) -> usize {
+    let Some(shared) = &group.shared_budget else { return 0 };
+    let text = shared.config.document(total);
+    let digest = Document::read_as(Kind::Budgets, &text, "budgets.toml").expect("it is right").digest();
+    let shown = &digest.to_string()[..8];
+    let services = std::iter::once(&group.control_service).chain(&shared.second_control);
+    let statuses = services.map(|service| service.status());
+    let is_good = |node: &Value| {
+        node["connected"] == true
+            && node["standing"] == "good"
+            && node["has"].as_str().is_some_and(|version| version.contains(shown))
+    };
+    statuses
+        .map(|status| {
+            status["budgets"]["nodes"]
+                .as_array()
+                .map_or(0, |nodes| nodes.iter().filter(|node| is_good(node)).count())
+        })
+        .sum()
+}
+
+/// Guards against budgets documents with a table of sites that nodes reject when they are streamed.
+#[test]
+fn a_streamed_budgets_document_is_good_at_every_node_and_outlasts_a_restart_and_a_change() {
+    let _one = one_at_a_time();
+    let nodes = 4;
+    let mut group =
+        group(nodes, 40.0, SharedBudgetConfig { total: 12, sites: 2, ..SharedBudgetConfig::default() });
+    let has_total = |group: &mut Group, total: u32| {
+        group.wait_until(SOON, |group| nodes_with_good_total(group, total) == nodes)
+    };
+    assert!(has_total(&mut group, 12), "{}", group.status()["budgets"]);
+    for node in 0..nodes {
+        cause(&mut group, Fault::Kill { node });
+        cause(&mut group, Fault::Start { node, disk: Disk::Own });
+    }
+    assert!(has_total(&mut group, 12), "{}", group.status()["budgets"]);
+    for total in [6, 12] {
+        cause(&mut group, Fault::SetBudgetTotal { units: total });
+        assert!(has_total(&mut group, total), "{total}: {}", group.status()["budgets"]);
+        let owned_in_all = |group: &mut Group| owned(group, 0) + owned(group, 1) == u64::from(total);
+        assert!(group.wait_until(SOON, owned_in_all), "{}", group.control_service.budget_status());
+    }
+    kept(&group.finish());
+}
+
 #[test]
 fn drawn_plans_never_pass_the_whole() {
     let _one = one_at_a_time();
