A call lost with its connection counts against the lease until the dependency ends it

What was seen: more calls at the dependency than the budget's total, which is a rule of the service.

Cause: a call that ended with its connection was taken for over at once (only timed-out calls lingered), so its unit went to the next call. The dependency need not notice that a connection has ended and runs the call until the timeout that it was told.

Evidence: the tests' dependency now tells how many calls in flight came on connections that have ended.

Change: under a lease such a call counts until its timeout and the linger are over.

--- a/crates/hazelgrade-fakes/src/dependency.rs
+++ b/crates/hazelgrade-fakes/src/dependency.rs
@@ -3,7 +3,7 @@
 //! caller lives or not.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -11,18 +11,37 @@
 
 type Call = (u64, String);
 
+/// The calls in flight at the moment when one came past the capacity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Overload {
+    /// Calls in flight, the one that came included.
+    pub in_flight: usize,
+    /// How many may be in flight at once.
+    pub capacity: usize,
+    /// Those of them whose connection has ended: their callers may have forgotten them.
+    pub on_ended_connections: usize,
+}
+
+impl Overload {
+    /// Calls past the capacity.
+    pub fn excess(&self) -> usize {
+        self.in_flight.saturating_sub(self.capacity)
+    }
+}
+
 struct State {
     /// How long a call takes.
     call_duration: Duration,
     /// How many calls may be in flight at once.
     capacity: usize,
     in_flight: BTreeMap<Call, Arc<Mutex<TcpStream>>>,
+    ended_connections: BTreeSet<u64>,
     due: BinaryHeap<Reverse<(Instant, Call, bool)>>,
     /// The most that was in flight at once.
     peak: usize,
-    /// How often a call came past the capacity, and by how many at worst.
+    /// How often a call came past the capacity.
     overloads: usize,
-    worst_excess: usize,
+    worst_overload: Option<Overload>,
     calls: u64,
     /// Calls in flight integrated over time, in call seconds.
     call_seconds: f64,
@@ -39,7 +58,19 @@
         self.peak = self.peak.max(self.in_flight.len());
         if self.in_flight.len() > self.capacity {
             self.overloads += 1;
-            self.worst_excess = self.worst_excess.max(self.in_flight.len() - self.capacity);
+            let overload = self.overload();
+            if self.worst_overload.is_none_or(|worst| overload.excess() > worst.excess()) {
+                self.worst_overload = Some(overload);
+            }
+        }
+    }
+
+    fn overload(&self) -> Overload {
+        let has_ended = |call: &&Call| self.ended_connections.contains(&call.0);
+        Overload {
+            in_flight: self.in_flight.len(),
+            capacity: self.capacity,
+            on_ended_connections: self.in_flight.keys().filter(has_ended).count(),
         }
     }
 }
@@ -76,10 +107,11 @@
             call_duration,
             capacity,
             in_flight: BTreeMap::new(),
+            ended_connections: BTreeSet::new(),
             due: BinaryHeap::new(),
             peak: 0,
             overloads: 0,
-            worst_excess: 0,
+            worst_overload: None,
             calls: 0,
             call_seconds: 0.0,
             integrated_until: Instant::now(),
@@ -91,7 +123,10 @@
         std::thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
                 let shared = accepting.clone();
-                std::thread::spawn(move || serve_connection(&shared, connection as u64, stream));
+                std::thread::spawn(move || {
+                    serve_connection(&shared, connection as u64, stream);
+                    shared.lock().ended_connections.insert(connection as u64);
+                });
             }
         });
         Ok(Dependency { shared, address })
@@ -120,7 +155,12 @@
     /// How often a call came past the capacity, and by how many at worst.
     pub fn overloads(&self) -> (usize, usize) {
         let state = self.shared.lock();
-        (state.overloads, state.worst_excess)
+        (state.overloads, state.worst_overload.map_or(0, |worst| worst.excess()))
+    }
+
+    /// The first moment at which the most calls were past the capacity.
+    pub fn worst_overload(&self) -> Option<Overload> {
+        self.shared.lock().worst_overload
     }
 
     /// Calls that came so far.
--- a/crates/hazelgrade-fault-injection/src/group/shutdown.rs
+++ b/crates/hazelgrade-fault-injection/src/group/shutdown.rs
@@ -33,6 +33,8 @@
         }
         self.history.budget_overloads =
             self.shared_budget.as_ref().map(|shared| shared.dependency.overloads());
+        self.history.worst_budget_overload =
+            self.shared_budget.as_ref().and_then(|shared| shared.dependency.worst_overload());
         self.history.runs = self.nodes.iter().map(|member| member.executor.runs()).collect();
         self.history
     }
--- a/crates/hazelgrade-fault-injection/src/history.rs
+++ b/crates/hazelgrade-fault-injection/src/history.rs
@@ -4,6 +4,7 @@
 
 use hazelgrade::time::{Span, Time};
 use hazelgrade_fakes::callers::JobOutcome;
+use hazelgrade_fakes::dependency::Overload;
 use std::collections::BTreeMap;
 use std::fmt::{Display, Formatter};
 
@@ -104,6 +105,8 @@
     pub version_numbers_reused: bool,
     /// How often calls came past the budget's total at the dependency, and by how many at worst.
     pub budget_overloads: Option<(usize, usize)>,
+    /// The worst of them.
+    pub worst_budget_overload: Option<Overload>,
     /// Nodes that ended otherwise than they should, and how.
     pub unexpected_exits: Vec<(usize, String)>,
     /// What did not happen in time once all faults were over.
@@ -189,7 +192,10 @@
         if let Some((times, worst)) = self.budget_overloads.filter(|(times, _)| *times > 0) {
             report(
                 "never more than the whole",
-                format!("{times} calls came past it, {worst} too many at worst"),
+                format!(
+                    "{times} calls came past it, {worst} too many at worst{}",
+                    self.describe_worst_overload()
+                ),
             );
         }
         self.check_versions(&mut report);
@@ -200,6 +206,16 @@
         violations
     }
 
+    /// The calls in flight in the worst overload; empty if they are not known.
+    fn describe_worst_overload(&self) -> String {
+        self.worst_budget_overload.map_or(String::new(), |worst| {
+            let Overload { in_flight, capacity, on_ended_connections } = worst;
+            format!(
+                ": {in_flight} of {capacity}, {on_ended_connections} of them on connections that had ended"
+            )
+        })
+    }
+
     /// No job lost or late, but for faults of its node that excuse it.
     fn check_jobs(&self, report: &mut impl FnMut(&'static str, String)) {
         use FaultKind::*;
--- a/crates/hazelgrade-server/tests/budgets/main.rs
+++ b/crates/hazelgrade-server/tests/budgets/main.rs
@@ -467,6 +467,26 @@
     kept(&group.finish());
 }
 
+/// Guards against calls that a node forgot with their connection and made again, while the dependency still ran them.
+#[test]
+fn calls_on_connections_that_are_reset_count_until_the_dependency_gives_them_up() {
+    let _one = one_at_a_time();
+    let setting = SharedBudgetConfig {
+        total: 10,
+        call_duration: Duration::from_millis(150),
+        ..SharedBudgetConfig::default()
+    };
+    let mut group = group(2, 40.0, setting);
+    assert!(divided(&mut group, 10), "{}", group.control_service.budget_status());
+    for _ in 0..6 {
+        assert!(group.wait_until(SOON, |group| in_hand(group) >= 9));
+        for node in 0..2 {
+            cause(&mut group, Fault::Reset { node, link: Link::Database });
+        }
+    }
+    kept(&group.finish());
+}
+
 #[test]
 fn drawn_plans_never_pass_the_whole() {
     let _one = one_at_a_time();
--- a/crates/hazelgrade/src/call_limiter.rs
+++ b/crates/hazelgrade/src/call_limiter.rs
@@ -29,6 +29,20 @@
 /// Shortest mean latency that a throughput is worked out from, in milliseconds.
 const MIN_LATENCY_MS: f64 = 0.001;
 
+/// How a call ended here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum CallEnding {
+    /// It was answered, or never ran: it is not at the dependency.
+    Over,
+    /// It was given up, and the dependency was told.
+    GivenUp,
+    /// It was lost with its connection. The dependency may not notice, and go on until the call's timeout.
+    ConnectionLost {
+        /// The timeout that the dependency was told.
+        timeout: Span,
+    },
+}
+
 /// A call that has ended here and still counts at the dependency for a while.
 struct FinishedCall {
     /// When it has left the dependency.
@@ -90,7 +104,7 @@
         self.lease.map_or(f64::INFINITY, |lease| lease.at(now))
     }
 
-    /// Calls that were given up here and may still be at the dependency.
+    /// Calls that have ended here and may still be at the dependency.
     fn lingering(&self, now: Time) -> usize {
         self.finished.iter().filter(|call| call.left_at > now).count()
     }
@@ -225,10 +239,25 @@
         within_lease.min(latency_timeout.max(shortest))
     }
 
-    /// Counts a call that has ended; one that was given up lingers at the dependency.
-    pub fn call_finished(&mut self, now: Time, lasted: Span, given_up: bool) {
+    /// How long a call that has ended here may stay at the dependency.
+    ///
+    /// The calls that all servers share are exact, so one that was lost counts for as long as it may run. A server's
+    /// own limit is a mean over a window, and such calls don't count against it.
+    fn linger_after(&self, ending: CallEnding) -> Span {
+        match ending {
+            CallEnding::Over => Span::ZERO,
+            CallEnding::GivenUp => self.dependency.linger,
+            CallEnding::ConnectionLost { timeout } if self.lease.is_some() => {
+                timeout + self.dependency.linger
+            }
+            CallEnding::ConnectionLost { .. } => Span::ZERO,
+        }
+    }
+
+    /// Counts a call that has ended here; it may linger at the dependency.
+    pub fn call_finished(&mut self, now: Time, lasted: Span, ending: CallEnding) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        let linger = if given_up { self.dependency.linger } else { Span::ZERO };
+        let linger = self.linger_after(ending);
         self.finished.push(FinishedCall { left_at: now + linger, lasted: lasted + linger });
     }
 
--- a/crates/hazelgrade/src/controller/calls.rs
+++ b/crates/hazelgrade/src/controller/calls.rs
@@ -68,7 +68,11 @@
         let remaining = self.call_deadline(now, id).since(now);
         self.enter(now, id, Stage::CallInFlight);
         let timeout = self.call_limiter.call_started(now, remaining, self.timescales.target_wait);
-        decisions.start_call(id, timeout.max(self.machine.tick));
+        let timeout = timeout.max(self.machine.tick);
+        if let Some(tracked) = self.jobs.get_mut(id) {
+            tracked.call_timeout = timeout;
+        }
+        decisions.start_call(id, timeout);
     }
 
     /// Gives up a call. If an answer without it still has some weight and the cores have room, the run goes on without
--- a/crates/hazelgrade/src/controller/events.rs
+++ b/crates/hazelgrade/src/controller/events.rs
@@ -2,6 +2,7 @@
 
 use super::Controller;
 use crate::api::{CallLease, Job, JobId, Outcome};
+use crate::call_limiter::CallEnding;
 use crate::deadline::Deadlines;
 use crate::drain::Drain;
 use crate::job_table::{Stage, TrackedJob};
@@ -36,6 +37,7 @@
             answered: false,
             has_run: false,
             call_attempts: 0,
+            call_timeout: Span::ZERO,
             call_in_doubt: false,
             class,
             job,
@@ -52,7 +54,9 @@
         let stage_time = now.since(tracked.stage_since);
         match tracked.stage {
             Stage::AwaitingCallPermit => controller.call_limiter.remove_queued(id),
-            Stage::CallInFlight => controller.call_limiter.call_finished(now, stage_time, true),
+            Stage::CallInFlight => {
+                controller.call_limiter.call_finished(now, stage_time, CallEnding::GivenUp);
+            }
             Stage::Running => tracked.core_time += stage_time,
             Stage::Queued | Stage::AwaitingOriginal => return,
         }
@@ -87,7 +91,12 @@
         if tracked.stage != Stage::CallInFlight {
             return;
         }
-        controller.call_limiter.call_finished(now, took, outcome == Outcome::TimedOut);
+        let ending = match outcome {
+            Outcome::TimedOut => CallEnding::GivenUp,
+            Outcome::ConnectionLost => CallEnding::ConnectionLost { timeout: tracked.call_timeout },
+            _ => CallEnding::Over,
+        };
+        controller.call_limiter.call_finished(now, took, ending);
         if !outcome.never_ran() && outcome != Outcome::ConnectionLost {
             controller.call_limiter.record_latency(now, took);
         }
--- a/crates/hazelgrade/src/job_table.rs
+++ b/crates/hazelgrade/src/job_table.rs
@@ -42,6 +42,8 @@
     pub has_run: bool,
     /// Attempts at its run's current call.
     pub call_attempts: u32,
+    /// The timeout of the latest attempt; zero before the first.
+    pub call_timeout: Span,
     /// Whether one of its calls may have had its effect without a reply.
     pub call_in_doubt: bool,
 }
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -419,3 +419,31 @@
         decisions.iter().filter_map(|a| if let Decision::Reject(.., last) = a { Some(*last) } else { None });
     assert!(last.next() == Some(false) && last.next_back() == Some(true), "{decisions:?}");
 }
+
+/// Calls of all servers together exceeded their total: those lost with a connection were forgotten while the dependency
+/// still ran them.
+#[test]
+fn a_call_lost_with_its_connection_counts_against_the_lease_until_the_dependency_gives_it_up() {
+    let mut controller = setup().controller();
+    let lease = CallLease {
+        calls: 2.0,
+        expires: at(60_000.0),
+        calls_after_expiry: 0.0,
+        max_call_time: ms(700.0),
+        retry_after: ms(100.0),
+    };
+    round(&mut controller, at(0.0), |sink| sink.call_lease_updated(lease));
+    let decisions = at_calls(&mut controller, 0.0, 0, 4);
+    assert_eq!(made(&decisions).len(), 2, "the lease is of two calls");
+    let timeout = decisions
+        .iter()
+        .find_map(|decision| if let Decision::StartCall(_, within) = decision { Some(*within) } else { None })
+        .expect("a call");
+    let lost_at = at(50.0);
+    let lose = |sink: &mut EventSink| sink.call_ended(&"c0".into(), Outcome::ConnectionLost, ms(50.0));
+    assert_eq!(made(&round(&mut controller, lost_at, lose)).len(), 0, "it may still run");
+    let gone_at = lost_at + timeout + setup().dependency.linger;
+    let mut made_at = |now: Time| made(&round(&mut controller, now, |_| {})).len();
+    assert_eq!(made_at(gone_at - ms(1.0)), 0, "it may still run");
+    assert_eq!(made_at(gone_at), 1, "it is over");
+}
