After a lost store a lessor waits for the leases there were, and later starts for less

Callers of half the fleet were rejected for as long as the plan waited, 40 s.

That figure went into the lessor's record and was never lowered, so every later start waited for 70 s once more. Evidence, on: `budget show` 2 s after the first start says 68,076 ms more, and 2 s after a restart 68,075 ms more, by a document whose leases last 1.2 s.

Change: the record goes back to the longest lease and use of the present terms once all leases of earlier starts and of longer terms are over; a start waits for the leases of its first document at least, as an old copy of the store may know shorter ones. An operator may state the longest of the last 70 s (`--longest-ms`), as one may declare a site lost; without it the wait stays 70 s.

The plans' own founding states what their documents say, so their bound of 40 s stays; a node now counts as recovered when jobs succeed there, not when they are answered. Tests: three of the lessor, each seen to fail with its guard taken out; one of the command; a group whose lessor loses its disk and is started again (its 30 s are less than the 70 s of before).

Open: a start during the wait waits for all of it again.

--- a/crates/hazelgrade-budget/src/lessor/mod.rs
+++ b/crates/hazelgrade-budget/src/lessor/mod.rs
@@ -72,6 +72,12 @@
     storing: bool,
     /// Leases of earlier starts may be in use before this.
     recovered_at: Time,
+    /// When this start was, until its first terms are known, if an earlier start granted anything.
+    awaiting_first_terms_since: Option<Time>,
+    /// The longest time for which a grant by the present terms may be used, in milliseconds.
+    present_max_grant_ms: f64,
+    /// Leases by earlier terms of this start may be in use before this.
+    earlier_terms_until: Time,
     /// Set if the store is an old copy: nothing new is granted until an operator reopens the lessor.
     stale_store: Option<StaleStore>,
     /// Other sites that are still to report.
@@ -103,10 +109,13 @@
             now
         };
         let lessor = Lessor {
+            awaiting_first_terms_since: record.granted.then_some(now),
             record: record.clone(),
             stored: None,
             storing: true,
             recovered_at,
+            present_max_grant_ms: 0.0,
+            earlier_terms_until: now,
             stale_store: None,
             unconfirmed: None,
             budgets: BTreeMap::new(),
@@ -156,7 +165,8 @@
         let expiries = self.budgets.values().filter_map(|book| book.next_expiry());
         let divisions = self.budgets.values().filter_map(|book| book.next_division(now));
         let recovery = (now < self.recovered_at).then_some(self.recovered_at);
-        expiries.chain(divisions).chain(recovery).min()
+        let shorter = self.max_grant_shrinks_at().filter(|at| now < *at);
+        expiries.chain(divisions).chain(recovery).chain(shorter).min()
     }
 
     /// Takes in an event; what the caller is to do is added to `actions`, in order.
@@ -235,6 +245,11 @@
         }
         self.budgets.retain(|name, book| terms.contains_key(name) || !book.is_unused());
         let max_grant_ms = terms.values().map(|terms| max_grant_time(terms).as_ms()).fold(0.0, f64::max);
+        if let Some(started_at) = self.awaiting_first_terms_since.take_if(|_| !terms.is_empty()) {
+            // An old copy of the store may know shorter terms than those of the latest grants.
+            let leases_over = started_at + Span::from_ms(max_grant_ms) * (1.0 + MAX_CLOCK_DRIFT_RATIO);
+            self.recovered_at = self.recovered_at.max(leases_over);
+        }
         if max_grant_ms > self.record.max_grant_ms {
             self.record.max_grant_ms = max_grant_ms;
             self.store(actions);
@@ -263,6 +278,33 @@
         self.log(now, format!("{name}: {owned} of {total} owned here, {owned_before} before"), actions);
     }
 
+    /// Notes the longest grant by the present terms. Those of budgets that are gone from the document count until nobody
+    /// holds any of them.
+    fn update_present_max_grant(&mut self, now: Time) {
+        let longest = self.budgets.values().map(|book| max_grant_time(book.terms()).as_ms());
+        let present_max_grant_ms = longest.fold(0.0, f64::max);
+        if present_max_grant_ms < self.present_max_grant_ms {
+            let leases_over = Span::from_ms(self.present_max_grant_ms) * (1.0 + MAX_CLOCK_DRIFT_RATIO);
+            self.earlier_terms_until = self.earlier_terms_until.max(now + leases_over);
+        }
+        self.present_max_grant_ms = present_max_grant_ms;
+    }
+
+    /// When the stored longest grant may be lowered to that of the present terms: once all leases of earlier starts and
+    /// of earlier terms are over. `None` if it is not longer, or no terms are known.
+    fn max_grant_shrinks_at(&self) -> Option<Time> {
+        let is_longer = self.record.max_grant_ms > self.present_max_grant_ms;
+        (is_longer && !self.budgets.is_empty()).then(|| self.recovered_at.max(self.earlier_terms_until))
+    }
+
+    /// Lowers the stored longest grant if it may be: the next start waits for so long.
+    fn shrink_max_grant(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.max_grant_shrinks_at().is_some_and(|at| at <= now) {
+            self.record.max_grant_ms = self.present_max_grant_ms;
+            self.store(actions);
+        }
+    }
+
     fn store(&mut self, actions: &mut Vec<Action>) {
         if !self.storing {
             self.storing = true;
@@ -286,6 +328,8 @@
     /// Removes leases that are over, divides budgets again where that is due, and nudges holders that are to return
     /// units or can have more.
     fn settle(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.update_present_max_grant(now);
+        self.shrink_max_grant(now, actions);
         let mut log = Vec::new();
         let mut to_nudge = BTreeSet::new();
         let blocked = self.grants_blocked(now).is_some();
--- a/crates/hazelgrade-budget/tests/lessor.rs
+++ b/crates/hazelgrade-budget/tests/lessor.rs
@@ -63,3 +63,108 @@
     assert_eq!(tell(800.0, Event::Requested(1, request("n0", 7, 4, 3))).0, vec![3]);
     assert_eq!(tell(900.0, Event::Requested(2, request("n1", 8, 3, 0))).0, vec![3]);
 }
+
+/// Terms of one budget of calls with leases and uses of this length.
+fn terms_with(lease_ms: f64, max_use_ms: f64) -> Event {
+    let terms = BudgetTerms {
+        measure: Measure::ConcurrentCalls,
+        total: 6,
+        site_shares: [("a".to_owned(), 6)].into(),
+        set_aside: 0,
+        min_share: 1,
+        lease: Span::from_ms(lease_ms),
+        max_use_time: Span::from_ms(max_use_ms),
+        tenant: None,
+    };
+    Event::TermsChanged {
+        terms: [("calls".to_owned(), terms)].into(),
+        owned: [("calls".to_owned(), 6)].into(),
+    }
+}
+
+/// A lessor with a disk that always works.
+struct Stored {
+    lessor: Lessor,
+    record: LessorRecord,
+}
+
+impl Stored {
+    fn start(ms: f64, record: LessorRecord) -> Stored {
+        let (lessor, first) = Lessor::new(Time::from_ms(ms), record.clone());
+        let mut stored = Stored { lessor, record };
+        stored.perform(ms, vec![first]);
+        stored
+    }
+
+    fn handle(&mut self, ms: f64, event: Event) {
+        let mut actions = Vec::new();
+        self.lessor.handle(Time::from_ms(ms), event, &mut actions);
+        self.perform(ms, actions);
+    }
+
+    fn perform(&mut self, ms: f64, actions: Vec<Action>) {
+        for action in actions {
+            if let Action::Store(record) = action {
+                self.record = record;
+                self.handle(ms, Event::Stored(Ok(())));
+            }
+        }
+    }
+
+    /// Handles its own timers up to this time.
+    fn run_until(&mut self, from_ms: f64, to_ms: f64) {
+        let mut now = Time::from_ms(from_ms);
+        while let Some(at) = self.lessor.wakes_at(now).filter(|at| *at <= Time::from_ms(to_ms)) {
+            now = at.max(now + Span::from_ms(1.0));
+            self.handle(now.since(Time::from_ms(0.0)).as_ms(), Event::Timer);
+        }
+    }
+
+    fn is_blocked(&self, ms: f64) -> bool {
+        self.lessor.grants_blocked(Time::from_ms(ms)).is_some()
+    }
+}
+
+/// After a lost store every later start waited for the longest lease of any document, 70 s, although all leases of that
+/// time were long over: callers of a site were rejected at each restart.
+#[test]
+fn a_start_after_a_lost_stores_wait_is_over_waits_for_the_present_leases_only() {
+    let lost = LessorRecord { site: "a".into(), generation: 5, granted: true, max_grant_ms: 70_000.0 };
+    let mut first = Stored::start(0.0, lost);
+    first.handle(1.0, terms_with(600.0, 600.0));
+    first.run_until(1.0, 70_000.0);
+    assert!(first.is_blocked(70_000.0), "leases of the lost store may be in use");
+    let again = Stored::start(70_000.0, first.record.clone());
+    assert!(again.is_blocked(139_000.0), "a start during the wait knows no better");
+    first.run_until(70_000.0, 70_200.0);
+    assert!(!first.is_blocked(70_200.0));
+    first.handle(70_300.0, Event::Requested(1, request("n0", 7, 1, 0)));
+    let next = Stored::start(71_000.0, first.record);
+    assert!(next.is_blocked(72_200.0), "leases of the start before may be in use");
+    assert!(!next.is_blocked(72_300.0));
+}
+
+/// A start must not come too early either: leases by longer terms than the present ones may still be in use.
+#[test]
+fn a_start_waits_for_leases_by_longer_terms_until_they_are_over() {
+    let mut first = Stored::start(0.0, LessorRecord { site: "a".into(), ..LessorRecord::default() });
+    first.handle(1.0, terms_with(5000.0, 5000.0));
+    first.handle(100.0, Event::Requested(1, request("n0", 7, 1, 0)));
+    first.handle(200.0, terms_with(600.0, 600.0));
+    first.run_until(200.0, 10_000.0);
+    let early = Stored::start(10_000.0, first.record.clone());
+    assert!(early.is_blocked(19_900.0), "the lease of n0 and its use end at 10,100");
+    first.run_until(10_000.0, 10_300.0);
+    let late = Stored::start(10_300.0, first.record);
+    assert!(!late.is_blocked(11_600.0));
+}
+
+/// A copy of the store from a time of shorter leases says less than the document by which the latest ones were granted.
+#[test]
+fn a_start_with_a_copy_from_a_time_of_shorter_leases_waits_for_those_of_the_document() {
+    let copy = LessorRecord { site: "a".into(), generation: 5, granted: true, max_grant_ms: 1201.2 };
+    let mut lessor = Stored::start(0.0, copy);
+    lessor.handle(1.0, terms_with(5000.0, 5000.0));
+    assert!(lessor.is_blocked(9_900.0));
+    assert!(!lessor.is_blocked(10_100.0));
+}
--- a/crates/hazelgrade-fakes/src/callers.rs
+++ b/crates/hazelgrade-fakes/src/callers.rs
@@ -124,6 +124,11 @@
         lock(&self.record.results).len()
     }
 
+    /// How many jobs succeeded so far.
+    pub fn success_count(&self) -> usize {
+        lock(&self.record.results).iter().filter(|result| result.outcome == JobOutcome::Succeeded).count()
+    }
+
     /// Sends no more jobs, waits for the answers that are open, and reports on all jobs.
     pub fn stop(self) -> CallersReport {
         self.record.stop.store(true, Ordering::Relaxed);
--- a/crates/hazelgrade-fakes/src/control_process.rs
+++ b/crates/hazelgrade-fakes/src/control_process.rs
@@ -90,17 +90,18 @@
         })
     }
 
-    /// Creates the store of a site's lessor here; `lost` if there was one before.
+    /// Creates the store of a site's lessor here; `lost` if there was one before, with the longest lease and use of all
+    /// documents.
     ///
     /// # Errors
     ///
     /// If the command fails, with its standard error.
-    pub fn initialize_lessor(&self, site: &str, lost: bool) -> io::Result<()> {
+    pub fn initialize_lessor(&self, site: &str, lost: Option<Duration>) -> io::Result<()> {
         let mut command = Command::new(&self.program);
         command.args(&self.arguments).args(["budget", "found", "--keeper", site, "--documents"]);
         command.arg(self.documents.path()).args(["--listen", &self.address.to_string()]);
-        if lost {
-            command.arg("--lost");
+        if let Some(longest) = lost {
+            command.args(["--lost", "--longest-ms", &longest.as_millis().to_string()]);
         }
         let output = command.output()?;
         let why = || io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned());
--- a/crates/hazelgrade-fault-injection/src/group/node.rs
+++ b/crates/hazelgrade-fault-injection/src/group/node.rs
@@ -50,6 +50,11 @@
         self.callers.as_ref().map_or(0, Callers::count)
     }
 
+    /// Jobs of its callers that succeeded so far.
+    pub fn success_count(&self) -> usize {
+        self.callers.as_ref().map_or(0, Callers::success_count)
+    }
+
     /// Whether it ran when the group was last observed.
     pub fn is_running(&self) -> bool {
         self.running
--- a/crates/hazelgrade-fault-injection/src/group/observation.rs
+++ b/crates/hazelgrade-fault-injection/src/group/observation.rs
@@ -11,11 +11,11 @@
 
 /// How often the control services are asked.
 const STATUS_INTERVAL: Duration = Duration::from_millis(40);
-/// Answers that each node has to give to be seen as recovered.
-const RECOVERY_ANSWERS: usize = 10;
+/// Jobs that have to succeed at each node for it to be seen as recovered.
+const RECOVERY_SUCCESSES: usize = 10;
 
 impl Group {
-    /// Waits until each node is ready, has the latest version as its good one, and goes on answering its callers.
+    /// Waits until each node is ready, has the latest version as its good one, and goes on serving its callers.
     pub(super) fn recovers(&mut self) -> bool {
         let digest = self.published_digest.clone();
         let good = self.wait_until(RECOVERY_TIMEOUT, |group| {
@@ -25,13 +25,13 @@
         if good {
             (0..self.nodes.len()).for_each(|node| self.history.fault_ends(node, FaultKind::Gone, now()));
         }
-        let before: Vec<usize> = self.nodes.iter().map(GroupNode::job_count).collect();
+        let before: Vec<usize> = self.nodes.iter().map(GroupNode::success_count).collect();
         good && self.wait_until(RECOVERY_TIMEOUT, |group| {
             group
                 .nodes
                 .iter()
                 .zip(&before)
-                .all(|(node, before)| node.job_count() >= before + RECOVERY_ANSWERS)
+                .all(|(node, before)| node.success_count() >= before + RECOVERY_SUCCESSES)
         })
     }
 
--- a/crates/hazelgrade-fault-injection/src/shared_budget.rs
+++ b/crates/hazelgrade-fault-injection/src/shared_budget.rs
@@ -66,6 +66,11 @@
         )
     }
 
+    /// The longest that units of a lease may be in use by its documents.
+    fn max_lease_and_use(&self) -> Duration {
+        Duration::from_millis(u64::from(self.lease_ms) + u64::from(self.max_use_ms))
+    }
+
     /// The budget's tables of a node's operator's file.
     pub fn operator_settings(&self) -> String {
         format!(
@@ -123,9 +128,9 @@
                 "--peer".into(),
                 format!("a={}", lessor_links[1].address),
             ];
-            second.initialize_lessor("b", false)?;
+            second.initialize_lessor("b", None)?;
         }
-        first.initialize_lessor("a", false)?;
+        first.initialize_lessor("a", None)?;
         let shared = SharedBudget {
             config,
             dependency,
@@ -212,7 +217,7 @@
             },
             Disk::Empty => {
                 std::fs::remove_file(service.lessor_store())?;
-                service.initialize_lessor(SITES[site], true)
+                service.initialize_lessor(SITES[site], Some(self.config.max_lease_and_use()))
             }
         }
     }
--- a/crates/hazelgrade-server/src/program/command/budget.rs
+++ b/crates/hazelgrade-server/src/program/command/budget.rs
@@ -3,6 +3,7 @@
 mod report;
 
 use hazelgrade_budget::protocol::OperatorCommand;
+use hazelgrade_stream::lessor_service::LostStore;
 use hazelgrade_stream::{control_service, lessor_service};
 use pico_args::Arguments;
 use serde_json::Value;
@@ -12,8 +13,9 @@
 use std::time::{Duration, SystemTime};
 
 /// The usage text of `budget`.
-pub const USAGE: &str = "  hazelgrade budget found --documents DIR --keeper SITE --listen ADDRESS [--lost]
-                                     make the store of a site's keeper, once; --lost if there was one before
+pub const USAGE: &str = "  hazelgrade budget found --documents DIR --keeper SITE --listen ADDRESS [--lost [--longest-ms N]]
+                                     make the store of a site's keeper, once; --lost if there was one before, N the
+                                     greatest lease_ms plus longest_use_ms of any document of the last 70 s
   hazelgrade budget show|history|metrics|open --control ADDRESS
                                      who holds what; what happened; figures as text; take up granting again
   hazelgrade budget move --control ADDRESS --to SITE --budget NAME --units N [--id ID]
@@ -34,8 +36,8 @@
         site: String,
         /// The address that the control service will listen on.
         listen: SocketAddr,
-        /// Whether there was a store before, which is lost.
-        lost: bool,
+        /// The store that there was before, if there was one.
+        lost: Option<LostStore>,
     },
     /// Sends a request to a lessor.
     Request {
@@ -69,7 +71,7 @@
                 documents: arguments.value_from_str("--documents")?,
                 site: arguments.value_from_str("--keeper")?,
                 listen: arguments.value_from_str("--listen")?,
-                lost: arguments.contains("--lost"),
+                lost: parse_lost_store(arguments)?,
             });
         }
         let control_service = arguments.value_from_str("--control")?;
@@ -106,6 +108,20 @@
     }
 }
 
+fn parse_lost_store(arguments: &mut Arguments) -> Result<Option<LostStore>, pico_args::Error> {
+    let is_lost = arguments.contains("--lost");
+    let longest_ms: Option<f64> = arguments.opt_value_from_str("--longest-ms")?;
+    let problem = match longest_ms {
+        Some(_) if !is_lost => Some("--longest-ms: goes with --lost"),
+        Some(longest_ms) if !LostStore::accepts(longest_ms) => Some("--longest-ms: expected 210 to 70000"),
+        _ => None,
+    };
+    match problem {
+        Some(cause) => Err(pico_args::Error::ArgumentParsingFailed { cause: cause.into() }),
+        None => Ok(is_lost.then_some(LostStore { longest_ms })),
+    }
+}
+
 fn parse_move(arguments: &mut Arguments) -> Result<OperatorCommand, pico_args::Error> {
     Ok(OperatorCommand::Move {
         to: arguments.value_from_str("--to")?,
--- a/crates/hazelgrade-server/tests/budgets/main.rs
+++ b/crates/hazelgrade-server/tests/budgets/main.rs
@@ -487,6 +487,45 @@
     kept(&group.finish());
 }
 
+/// Guards against a lost store after which a whole site's callers are rejected for 70 s, and again at each later start.
+#[test]
+fn a_site_whose_lessor_lost_its_disk_serves_again_soon_and_so_after_the_next_start() {
+    let _one = one_at_a_time();
+    let mut group = group(2, 40.0, SharedBudgetConfig::default());
+    assert!(divided(&mut group, 10), "{}", group.control_service.budget_status());
+    for disk in [Disk::Empty, Disk::Own] {
+        cause(&mut group, Fault::KillControl);
+        cause(&mut group, Fault::StartControl { disk });
+        assert!(divided(&mut group, 10), "{disk:?}: {}", group.control_service.budget_status());
+    }
+    kept(&group.finish());
+}
+
+/// What an operator states of a lost store bounds the wait; without it the wait is that of the longest lease of all.
+#[test]
+fn a_lost_store_is_founded_anew_with_the_longest_lease_that_the_operator_states() {
+    let found = |words: &[&str]| {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut command = std::process::Command::new(program());
+        command.args(["budget", "found", "--keeper", "a", "--listen", "127.0.0.1:1", "--documents"]);
+        let done = command.arg(folder.path()).args(words).output().expect("it starts");
+        let said = [done.stdout, done.stderr].concat();
+        (done.status.code(), String::from_utf8_lossy(&said).into_owned())
+    };
+    let (code, said) = found(&["--lost"]);
+    assert!(code == Some(0) && said.contains("nothing new for 70000 ms"), "{code:?} {said}");
+    let (code, said) = found(&["--lost", "--longest-ms", "1200"]);
+    assert!(code == Some(0) && said.contains("nothing new for 1202 ms"), "{code:?} {said}");
+    for wrong in [
+        &["--longest-ms", "1200"] as &[&str],
+        &["--lost", "--longest-ms", "70001"],
+        &["--lost", "--longest-ms", "nan"],
+    ] {
+        let (code, said) = found(wrong);
+        assert!(code == Some(2) && said.contains("--longest-ms"), "{wrong:?}: {code:?} {said}");
+    }
+}
+
 #[test]
 fn drawn_plans_never_pass_the_whole() {
     let _one = one_at_a_time();
--- a/crates/hazelgrade-stream/src/lessor_service/mod.rs
+++ b/crates/hazelgrade-stream/src/lessor_service/mod.rs
@@ -12,7 +12,7 @@
 
 pub use config::LessorConfig;
 pub use error::{BudgetCommandError, LessorError};
-pub use store::create_store;
+pub use store::{LostStore, create_store};
 
 use crate::protocol::PublisherMessage;
 use crate::publisher::{ConnectionId, Rollout, VersionedDocument};
--- a/crates/hazelgrade-stream/src/lessor_service/store.rs
+++ b/crates/hazelgrade-stream/src/lessor_service/store.rs
@@ -2,6 +2,7 @@
 
 use super::config::LessorConfig;
 use super::error::LessorError;
+use hazelgrade_budget::MAX_CLOCK_DRIFT_RATIO;
 use hazelgrade_budget::lessor::StoreFailed;
 use hazelgrade_budget::stored::{LessorRecord, SiteLedger};
 use hazelgrade_store::{Store, StoreError};
@@ -17,14 +18,36 @@
 /// The longest time for which units of a lease may be in use under any document, in milliseconds: the longest lease
 /// plus the longest use that a document may state.
 const MAX_LEASE_AND_USE_MS: f64 = 70_000.0;
+/// The shortest lease plus the shortest longest use that a document may state, in milliseconds.
+const MIN_LEASE_AND_USE_MS: f64 = 210.0;
+
+/// A store that existed before and is lost, whose leases may be in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LostStore {
+    /// The greatest sum of lease and longest use that any document stated during the last 70 s, in milliseconds, by an
+    /// operator's word; without it any that a document may state.
+    pub longest_ms: Option<f64>,
+}
+
+impl LostStore {
+    /// Whether a document may state this sum of lease and longest use, in milliseconds.
+    pub fn accepts(longest_ms: f64) -> bool {
+        (MIN_LEASE_AND_USE_MS..=MAX_LEASE_AND_USE_MS).contains(&longest_ms)
+    }
+
+    /// For how long a lease of the lost store may be in use, in milliseconds of this machine's clock.
+    fn max_grant_ms(self) -> f64 {
+        self.longest_ms.map_or(MAX_LEASE_AND_USE_MS, |longest_ms| longest_ms * (1.0 + MAX_CLOCK_DRIFT_RATIO))
+    }
+}
 
 /// The owner that the store is marked with.
 fn store_owner(site: &str, listen: SocketAddr) -> String {
     format!("the keeper of {site} at {listen}")
 }
 
-/// Creates the store of a site's lessor; returns the message to the operator. `is_replacement` is whether there was a
-/// store before, whose leases may be in use.
+/// Creates the store of a site's lessor; returns the message to the operator. `lost` is the store that there was before,
+/// if there was one.
 ///
 /// # Errors
 ///
@@ -33,7 +56,7 @@
     documents: &Path,
     site: &str,
     listen: SocketAddr,
-    is_replacement: bool,
+    lost: Option<LostStore>,
 ) -> Result<String, LessorError> {
     let path = documents.join(STORE_FILE);
     if path.exists() {
@@ -41,27 +64,25 @@
     }
     let failed = |reason: StoreError| LessorError::NotCreated { path: path.clone(), reason };
     let mut store = Store::open(&path, &store_owner(site, listen)).map_err(failed)?;
-    let record = first_record(site, is_replacement);
+    let record = first_record(site, lost);
     let record = json!(record).to_string();
     let ledger = json!(SiteLedger::default()).to_string();
     let values = [(RECORD_KEY, Some(record.as_bytes())), (LEDGER_KEY, Some(ledger.as_bytes()))];
     store.commit(&values).map_err(failed)?;
-    let waits = if is_replacement {
-        format!("; it grants nothing new for {MAX_LEASE_AND_USE_MS:.0} ms after its start")
-    } else {
-        String::new()
-    };
+    let waits = lost.map_or(String::new(), |lost| {
+        format!("; it grants nothing new for {:.0} ms after its start", lost.max_grant_ms().ceil())
+    });
     Ok(format!("{}: the keeper of {site} at {listen} is founded{waits}", path.display()))
 }
 
 /// The record that the first start continues from.
-fn first_record(site: &str, is_replacement: bool) -> LessorRecord {
-    if !is_replacement {
+fn first_record(site: &str, lost: Option<LostStore>) -> LessorRecord {
+    let Some(lost) = lost else {
         return LessorRecord { site: site.into(), generation: 0, granted: false, max_grant_ms: 0.0 };
-    }
+    };
     // Greater than any generation of the lost store, so that no lease holder takes it for an earlier one.
     let generation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
-    LessorRecord { site: site.into(), generation, granted: true, max_grant_ms: MAX_LEASE_AND_USE_MS }
+    LessorRecord { site: site.into(), generation, granted: true, max_grant_ms: lost.max_grant_ms() }
 }
 
 /// The store of a running lessor.
