An empty table of a node is an error in documents that say nothing about nodes

What was seen, in reading: `[node.n1]` without fields passed a check of a budgets or identity document and was dropped, so that a table in the wrong file went unnoticed.

Cause: Kind::has_table excepted the names of nodes from its check of the schema, whatever the kind.

Change: the exception holds for kinds that have fields under node/.

--- a/crates/hazelgrade-config/src/schema.rs
+++ b/crates/hazelgrade-config/src/schema.rs
@@ -16,6 +16,9 @@
 /// The longest name of a job class, tenant, node, key, caller or budget, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
 
+/// The section of what concerns one node.
+const NODE_SECTION: &str = "node/";
+
 /// The longest string in a list of strings, in bytes.
 const MAX_LIST_ITEM_BYTES: usize = 256;
 
@@ -162,9 +165,10 @@
 
     /// Whether a document of this kind may have an empty table at `path`, which ends in `/`.
     pub(crate) fn has_table(self, path: &str) -> bool {
-        self.fields().iter().any(|field| {
-            field.path.starts_with(path) || path.strip_prefix("node/").is_some_and(|rest| rest.len() > 1)
-        })
+        let is_of_node = path.strip_prefix(NODE_SECTION).is_some_and(|rest| rest.len() > 1);
+        self.fields()
+            .iter()
+            .any(|field| field.path.starts_with(path) || (is_of_node && field.path.starts_with(NODE_SECTION)))
     }
 }
 
--- a/crates/hazelgrade-config/tests/written_documents.rs
+++ b/crates/hazelgrade-config/tests/written_documents.rs
@@ -176,3 +176,18 @@
         assert_eq!(read.as_ref(), Ok(&document), "{written}");
     }
 }
+
+/// Guards against an empty table of a node that passed in documents that say nothing about nodes.
+#[test]
+fn an_empty_table_of_a_node_is_an_error_in_documents_without_nodes() {
+    let budgets = "[budget.calls]\nmeasure = \"in-hand\"\nwhole = 4\nsite = { a = 4 }\n[node.n1]\n";
+    let identity = "audience = \"a\"\n[key.k]\nalgorithm = \"EdDSA\"\nx = \"A\"\nactive_from_s = 0\n\
+        valid_until_s = 9000\n[node.n1]\n";
+    for (kind, text, line) in [(Kind::Budgets, budgets, 5), (Kind::Identity, identity, 7)] {
+        let errors = Document::read_as(kind, text, "f.toml").expect_err("there is no such table");
+        let shown: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        assert_eq!(shown, [format!("f.toml:{line}:7: field node.n1: there is no such table")]);
+    }
+    let serving = "[use_case.a]\ngoal_ms = 10\ncut_off_ms = 20\n[node.n1]\n";
+    assert!(Document::read(serving, "f.toml").is_ok());
+}
