Retiring a site under a used command id no longer says that the site was declared lost

Who believes it waits for units that never come.

Cause: Ownership::retire looked for the id and for the lost site in one condition.

Change: a site that is declared lost is answered as before; a used id is answered "w1 was done before", as `move` does. What is stored stays as it is.

--- a/crates/hazelgrade-budget/src/ownership/commands.rs
+++ b/crates/hazelgrade-budget/src/ownership/commands.rs
@@ -178,9 +178,13 @@
         safe_at: Time,
         actions: &mut Vec<Action>,
     ) -> Result<CommandOutcome, CommandError> {
-        if self.is_completed(id) || self.ledger.is_retired(site) {
+        if self.ledger.is_retired(site) {
             return Ok(CommandOutcome::AlreadyRetired { site: site.to_owned() });
         }
+        // It may have been about something else: that is no reason to say that this site is declared lost.
+        if self.is_completed(id) {
+            return Ok(CommandOutcome::AlreadyDone { id: id.to_owned() });
+        }
         if !self.peers.contains_key(site) {
             return Err(CommandError::UnknownSite { site: site.to_owned() });
         }
--- a/crates/hazelgrade-budget/tests/ownership.rs
+++ b/crates/hazelgrade-budget/tests/ownership.rs
@@ -4,7 +4,7 @@
 
 use hazelgrade::random::MultiplyWithCarry;
 use hazelgrade::time::{Span, Time};
-use hazelgrade_budget::ownership::{Action, Ownership};
+use hazelgrade_budget::ownership::{Action, CommandOutcome, Ownership};
 use hazelgrade_budget::stored::SiteLedger;
 use hazelgrade_budget::terms::{BudgetTerms, Measure};
 use std::collections::BTreeMap;
@@ -128,3 +128,22 @@
         assert_eq!(sites.owned(), 20, "seed {seed}");
     }
 }
+
+/// Guards against an operator who is told that a site was declared lost because the id of the command was used before,
+/// for another one.
+#[test]
+fn a_used_command_id_does_not_say_that_a_site_is_lost() {
+    let mut ownership = Ownership::new("a", 1, SiteLedger::default());
+    let mut actions = Vec::new();
+    ownership.set_terms("d".into(), terms(&[("a", 10), ("b", 6), ("c", 4)]), &mut actions);
+    let now = Time::from_ms(0.0);
+    let moved = ownership.move_units("w1", "b", "calls", 2, 10, &mut actions);
+    assert!(matches!(moved, Ok(CommandOutcome::Sent { .. })), "{moved:?}");
+    let used = ownership.retire("w1", now, "c", now, &mut actions);
+    assert_eq!(used, Ok(CommandOutcome::AlreadyDone { id: "w1".into() }));
+    assert!(!ownership.ledger().is_retired("c"));
+    let retired = ownership.retire("w2", now, "c", now, &mut actions);
+    assert!(matches!(retired, Ok(CommandOutcome::Retired { .. })), "{retired:?}");
+    let again = ownership.retire("w2", now, "c", now, &mut actions);
+    assert_eq!(again, Ok(CommandOutcome::AlreadyRetired { site: "c".into() }));
+}
