The lessor is told of connections that the control service closes itself

What operators saw, by reading and now by a run: when a second node subscribes under a name, the control service closes the first one's connection, and `budget show` counts that holder as connected until its lease is over. Nudges went to a connection that was gone.

Cause: the lessor hears of an end from the connection's reader, which `close` drops.

Change: `close` tells the lessor too.

--- a/crates/hazelgrade-server/tests/budgets/main.rs
+++ b/crates/hazelgrade-server/tests/budgets/main.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::expect_used, clippy::too_many_lines)]
 
-use hazelgrade_budget::protocol::OperatorCommand;
+use hazelgrade_budget::protocol::{LeaseRequest, OperatorCommand, RequestLine};
 use hazelgrade_config::{Document, Kind};
 use hazelgrade_fakes::executor::{Executor, Workload};
 use hazelgrade_fakes::{free_address, test_environment};
@@ -13,7 +13,10 @@
 use hazelgrade_fault_injection::plan_run::run_plan;
 use hazelgrade_fault_injection::proxy::{ms, now};
 use hazelgrade_fault_injection::shared_budget::SharedBudgetConfig;
+use hazelgrade_stream::protocol::SubscriberMessage;
 use serde_json::Value;
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -526,6 +529,48 @@
     }
 }
 
+/// Guards against a holder that counts as connected after the control service has closed its connection, as another one
+/// has subscribed under its name.
+#[test]
+fn a_holder_whose_connection_was_closed_by_the_control_service_is_shown_as_gone() {
+    let _one = one_at_a_time();
+    let long = SharedBudgetConfig { lease_ms: 10_000, max_use_ms: 10_000, ..SharedBudgetConfig::default() };
+    let mut group = group(1, 40.0, long);
+    let subscribe = SubscriberMessage::Subscribe {
+        node: "n9".into(),
+        program: "test".into(),
+        kind: Kind::Budgets,
+        lineage: None,
+        in_effect: None,
+        on_trial: false,
+        latest_known: None,
+    };
+    let request = SubscriberMessage::LeaseRequest(LeaseRequest {
+        holder: "n9".into(),
+        incarnation: 1,
+        sequence: 1,
+        last_accepted: 0,
+        known_lessor: None,
+        draining: false,
+        lines: vec![RequestLine { budget: "calls".into(), held: 0, in_use: 0, wanted: 1, unleased: 0 }],
+    });
+    let address = group.control_service.address;
+    let connect = |text: String| {
+        let mut stream = TcpStream::connect(address).expect("it listens");
+        stream.write_all(text.as_bytes()).expect("it is taken");
+        stream
+    };
+    let connected = |group: &Group, expected: bool| {
+        let calls = calls(group);
+        let mut holders = calls["holders"].as_array().into_iter().flatten();
+        holders.any(|holder| holder["holder"] == "n9" && holder["connected"] == expected)
+    };
+    let _first = connect(subscribe.encode() + &request.encode());
+    assert!(group.wait_until(SOON, |group| connected(group, true)), "{}", calls(&group));
+    let _second = connect(subscribe.encode());
+    assert!(group.wait_until(SOON, |group| connected(group, false)), "{}", calls(&group));
+}
+
 #[test]
 fn drawn_plans_never_pass_the_whole() {
     let _one = one_at_a_time();
--- a/crates/hazelgrade-stream/src/control_service/connections.rs
+++ b/crates/hazelgrade-stream/src/control_service/connections.rs
@@ -81,9 +81,7 @@
     /// Called as the last step of the connection's reader.
     fn on_connection_ended(&self, connection: ConnectionId) {
         self.notify_publisher(self.followed_kind(connection), Event::Disconnected { connection });
-        if let Some(lessor) = &self.lessor {
-            lessor.on_disconnected(connection, &mut |to, message| self.send(to, message));
-        }
+        self.notify_lessor_of_end(connection);
         self.followed_kinds.borrow_mut().remove(&connection);
         // The reader task runs this function: dropping it with the entry would cancel it here.
         if let Some(open) = self.connections.borrow_mut().remove(&connection) {
@@ -91,6 +89,12 @@
         }
     }
 
+    fn notify_lessor_of_end(&self, connection: ConnectionId) {
+        if let Some(lessor) = &self.lessor {
+            lessor.on_disconnected(connection, &mut |to, message| self.send(to, message));
+        }
+    }
+
     pub(super) fn send(&self, connection: ConnectionId, message: &PublisherMessage) {
         self.send_line(connection, &message.encode());
     }
@@ -117,6 +121,8 @@
             let event = Event::Disconnected { connection };
             publisher.borrow_mut().handle(self.now(), event, &mut Vec::new());
         }
+        // Its reader is dropped, and notifies nobody.
+        self.notify_lessor_of_end(connection);
         self.followed_kinds.borrow_mut().remove(&connection);
     }
 }
