A soak by seeds: drains that end by a kill, signals in series, late callers, idle clients

Need: no plan killed a node at the end of its time to drain, sent signals in series, or had callers that go on using a connection after `draining`; a recovered node was one that answered, whatever.

Plans print these in [soak]. Not drawn: TERM in the middle of a start, signals to control services, descriptors at their limit.

A violation tells the faults and versions of its node before the job; a harmful version taken as good tells how jobs fared before it.

--- a/crates/hazelgrade-demo/src/fault_campaign.rs
+++ b/crates/hazelgrade-demo/src/fault_campaign.rs
@@ -14,7 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// Plans that are played to shrink one that failed.
+/// Plans that are played to shrink one that failed, if the options don't say otherwise.
 const TRIES: usize = 40;
 const FAULTS: usize = 14;
 const NODES: usize = 5;
@@ -26,7 +26,11 @@
     nodes: usize,
     faults: usize,
     repeat: usize,
+    /// Plans that are played to shrink one that failed; none prints the plan as it is.
+    tries: usize,
     plan: Option<PathBuf>,
+    /// Drains end by a kill, signals come in series, callers hear of drains late.
+    soak: bool,
     /// Nodes share a budget of so many calls, kept at so many sites.
     shared: Option<(usize, u32)>,
 }
@@ -42,7 +46,9 @@
         nodes: words.opt_value_from_str("--nodes").map_err(to_message)?.unwrap_or(NODES),
         faults: words.opt_value_from_str("--faults").map_err(to_message)?.unwrap_or(FAULTS),
         repeat: words.opt_value_from_str("--repeat").map_err(to_message)?.unwrap_or(1),
+        tries: words.opt_value_from_str("--tries").map_err(to_message)?.unwrap_or(TRIES),
         plan: words.opt_value_from_str("--plan").map_err(to_message)?,
+        soak: words.contains("--soak"),
     };
     match words.finish().first() {
         Some(word) => Err(format!("trouble: {} is not known here", word.to_string_lossy())),
@@ -53,6 +59,9 @@
 
 impl Options {
     fn draw(&self, seed: u64) -> FaultPlan {
+        if self.soak {
+            return FaultPlan::draw_soak(seed, self.nodes, self.faults, self.shared);
+        }
         match self.shared {
             Some((sites, total)) => FaultPlan::draw_shared(seed, self.nodes, self.faults, sites, total),
             None => FaultPlan::draw(seed, self.nodes, self.faults),
@@ -68,6 +77,8 @@
     unmet: usize,
     jobs: BTreeMap<JobOutcome, usize>,
     failed: Vec<(u64, Vec<String>)>,
+    /// From the start of each process until it answered a health check, in ms.
+    start_times_ms: Vec<f64>,
 }
 
 impl Summary {
@@ -78,11 +89,28 @@
         for job in &played.history.jobs {
             *self.jobs.entry(job.outcome).or_default() += 1;
         }
+        self.start_times_ms.extend(played.history.start_times.iter().map(|time| time.as_ms()));
         if !played.violations.is_empty() {
             self.failed.push((plan.seed, played.violations.iter().map(ToString::to_string).collect()));
         }
     }
 
+    /// Prints how long processes that were started again took to answer a health check.
+    fn print_start_times(&self) {
+        let mut times = self.start_times_ms.clone();
+        times.sort_by(f64::total_cmp);
+        let quantile = |ratio: f64| times[((times.len() - 1) as f64 * ratio).round() as usize];
+        if !times.is_empty() {
+            println!(
+                "{} starts, until a health check is answered: p50 {:.0} ms, p90 {:.0} ms, maximum {:.0} ms",
+                times.len(),
+                quantile(0.5),
+                quantile(0.9),
+                quantile(1.0)
+            );
+        }
+    }
+
     /// Prints what all plans came to.
     fn print(&self, lasted: Duration) {
         let mut table = Table::new();
@@ -95,9 +123,14 @@
             "satisfied",
             "bounced",
             "lost, excused or not",
+            "crossed a close",
+            "failed, late or other",
             "plans that broke a rule",
         ]);
         let count = |fate| self.jobs.get(&fate).copied().unwrap_or(0).to_string();
+        let counted = [JobOutcome::Succeeded, JobOutcome::Rejected, JobOutcome::Lost, JobOutcome::Crossed];
+        let others: usize =
+            self.jobs.iter().filter(|(outcome, _)| !counted.contains(outcome)).map(|(_, jobs)| jobs).sum();
         table.add_row([
             self.plans.to_string(),
             self.faults.to_string(),
@@ -106,10 +139,13 @@
             count(JobOutcome::Succeeded),
             count(JobOutcome::Rejected),
             count(JobOutcome::Lost),
+            count(JobOutcome::Crossed),
+            others.to_string(),
             self.failed.len().to_string(),
         ]);
         println!("\n{table}\n");
         println!("{:.1} plans a minute", self.plans as f64 * 60.0 / lasted.as_secs_f64());
+        self.print_start_times();
         for (seed, violations) in &self.failed {
             println!("seed {seed}: {}", violations.join("; "));
         }
@@ -145,7 +181,7 @@
         );
         if !played.violations.is_empty() {
             played.violations.iter().take(5).for_each(|violation| println!("         {violation}"));
-            print_smallest(&plan);
+            print_smallest(&plan, options.tries);
         }
         seed += 1;
         let time_is_up = duration.is_none_or(|duration| began.elapsed() >= duration);
@@ -164,9 +200,12 @@
 }
 
 /// Plays a plan that failed again, with fewer and fewer steps.
-fn print_smallest(plan: &FaultPlan) {
-    println!("         shrinking, at most {TRIES} plans");
-    let smallest = shrink(plan, TRIES, |plan| once(plan).is_ok_and(|played| !played.violations.is_empty()));
+fn print_smallest(plan: &FaultPlan, tries: usize) {
+    if tries == 0 {
+        return println!("the plan, for --plan:\n\n{}", plan.to_toml());
+    }
+    println!("         shrinking, at most {tries} plans");
+    let smallest = shrink(plan, tries, |plan| once(plan).is_ok_and(|played| !played.violations.is_empty()));
     if smallest.steps.len() < plan.steps.len() || once(plan).is_ok_and(|played| !played.violations.is_empty())
     {
         println!("the least plan that failed, for --plan:\n\n{}", smallest.to_toml());
--- a/crates/hazelgrade-fakes/src/callers.rs
+++ b/crates/hazelgrade-fakes/src/callers.rs
@@ -32,6 +32,9 @@
     pub owner: String,
     /// The token sent with each job, as it is at that time.
     pub token: Option<Token>,
+    /// For how long jobs are still sent on a connection after the node said there that it drains, as by callers that
+    /// hear of it late.
+    pub drain_notice_delay: Duration,
 }
 
 /// A token that may be replaced while callers use it.
@@ -94,6 +97,22 @@
     threads: Vec<JoinHandle<()>>,
 }
 
+/// When no more jobs are to be sent on a connection.
+#[derive(Default)]
+struct SendingEnd(Mutex<Option<Instant>>);
+
+impl SendingEnd {
+    /// Sets it, or brings it forward.
+    fn set(&self, at: Instant) {
+        let mut end = lock(&self.0);
+        *end = Some(end.map_or(at, |before| before.min(at)));
+    }
+
+    fn has_come(&self) -> bool {
+        lock(&self.0).is_some_and(|at| at <= Instant::now())
+    }
+}
+
 type OpenCalls = Arc<Mutex<BTreeMap<u64, (String, String, Instant)>>>;
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -162,19 +181,20 @@
         match TcpStream::connect(config.node) {
             Ok(stream) => {
                 let open: OpenCalls = Arc::default();
-                let draining = Arc::new(AtomicBool::new(false));
+                let sending_end = Arc::new(SendingEnd::default());
                 let reader_thread = {
-                    let (open, record, draining) = (open.clone(), record.clone(), draining.clone());
+                    let (open, record, sending_end) = (open.clone(), record.clone(), sending_end.clone());
+                    let drain_notice_delay = config.drain_notice_delay;
                     let Ok(stream) = stream.try_clone() else { continue };
                     std::thread::spawn(move || {
-                        read_answers(stream, &open, &record, &draining);
+                        read_answers(stream, &open, &record, &sending_end, drain_notice_delay);
                         let ended = Instant::now();
                         // With as many open as may be nothing is written that would find out.
-                        draining.store(true, Ordering::Relaxed);
+                        sending_end.set(ended);
                         ended
                     })
                 };
-                send_jobs(config, connection, &stream, &open, record, &draining, &mut count);
+                send_jobs(config, connection, &stream, &open, record, &sending_end, &mut count);
                 let deadline = Instant::now() + DRAIN_TIMEOUT;
                 while !lock(&open).is_empty() && !reader_thread.is_finished() && Instant::now() < deadline {
                     std::thread::sleep(Duration::from_millis(2));
@@ -205,7 +225,7 @@
     mut stream: &TcpStream,
     open: &OpenCalls,
     record: &Record,
-    draining: &AtomicBool,
+    sending_end: &SendingEnd,
     count: &mut u64,
 ) {
     let _ = stream.set_nodelay(true);
@@ -213,7 +233,7 @@
     let mut next_send = Instant::now()
         + interval
             .mul_f64((connection % config.connections.max(1)) as f64 / config.connections.max(1) as f64);
-    while !record.stop.load(Ordering::Relaxed) && !draining.load(Ordering::Relaxed) {
+    while !record.stop.load(Ordering::Relaxed) && !sending_end.has_come() {
         std::thread::sleep(next_send.saturating_duration_since(Instant::now()));
         next_send += interval;
         if lock(open).len() >= MAX_OPEN_CALLS {
@@ -236,7 +256,13 @@
     }
 }
 
-fn read_answers(stream: TcpStream, open: &OpenCalls, record: &Record, draining: &AtomicBool) {
+fn read_answers(
+    stream: TcpStream,
+    open: &OpenCalls,
+    record: &Record,
+    sending_end: &SendingEnd,
+    drain_notice_delay: Duration,
+) {
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
     loop {
@@ -249,7 +275,7 @@
         }
         let Ok(answer) = serde_json::from_str::<Value>(&line) else { return };
         if answer["method"] == "draining" {
-            draining.store(true, Ordering::Relaxed);
+            sending_end.set(Instant::now() + drain_notice_delay);
             continue;
         }
         // Last words before a connection is closed answer no call.
--- a/crates/hazelgrade-fakes/src/lib.rs
+++ b/crates/hazelgrade-fakes/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod executor;
 /// Budgets of a whole fleet in simulated time.
 pub mod fleet;
+/// Clients that connect to a node and say nothing.
+pub mod idle_clients;
 /// A node as a process.
 pub mod node_process;
 /// A registry that receives heartbeats.
--- a/crates/hazelgrade-fakes/src/node_process.rs
+++ b/crates/hazelgrade-fakes/src/node_process.rs
@@ -1,12 +1,12 @@
 //! A node as a process, with its configuration, operator's file and store.
 
 use crate::{EVENT_TIMEOUT, wait_until};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, PidfdFlags, Signal, kill_process, pidfd_open, pidfd_send_signal};
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How a node is started.
 #[derive(Clone, Debug)]
@@ -134,6 +134,24 @@
         send_signal(&self.child, signal)
     }
 
+    /// Tells it to drain, and kills it once its time to drain is over, if it still runs then. `false` if it does not
+    /// run.
+    pub fn terminate_then_kill(&self) -> bool {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        // By a descriptor: its id may be another process's by the time of the kill.
+        let Some(process) = id.and_then(|id| pidfd_open(id, PidfdFlags::empty()).ok()) else { return false };
+        let kill_at = Instant::now() + Duration::from_millis(self.config.stop_ms);
+        if !self.signal("TERM") {
+            return false;
+        }
+        std::thread::spawn(move || {
+            std::thread::sleep(kill_at.saturating_duration_since(Instant::now()));
+            // It has left already, or this ends it.
+            let _ = pidfd_send_signal(&process, Signal::KILL);
+        });
+        true
+    }
+
     /// How it ended, if it has; does not wait.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
--- a/crates/hazelgrade-fakes/src/test_environment.rs
+++ b/crates/hazelgrade-fakes/src/test_environment.rs
@@ -68,6 +68,33 @@
     }
 }
 
+/// Connections of callers.
+const CALLER_CONNECTIONS: usize = 4;
+
+/// Starts four connections that request these job classes as the first tenant, at `rate` jobs a second in all, and go on
+/// for this long after the node says that it drains.
+pub fn start_late_callers(
+    node: SocketAddr,
+    rate: f64,
+    job_classes: &[&str],
+    drain_notice_delay: Duration,
+) -> Callers {
+    let job_classes = job_classes.iter().map(|name| (*name).to_owned()).collect();
+    Callers::start(&CallersConfig { drain_notice_delay, ..callers_config(node, rate, job_classes) })
+}
+
+fn callers_config(node: SocketAddr, rate: f64, job_classes: Vec<String>) -> CallersConfig {
+    CallersConfig {
+        node,
+        connections: CALLER_CONNECTIONS,
+        rate,
+        job_classes,
+        owner: "c0".into(),
+        token: None,
+        drain_notice_delay: Duration::ZERO,
+    }
+}
+
 /// Starts four connections that request these job classes as the first tenant, at `rate` jobs a second in all.
 pub fn start_callers(node: SocketAddr, rate: f64, job_classes: &[&str]) -> Callers {
     start_callers_with_token(node, rate, job_classes, None)
@@ -81,5 +108,5 @@
     token: Option<Token>,
 ) -> Callers {
     let job_classes = job_classes.iter().map(|name| (*name).to_owned()).collect();
-    Callers::start(&CallersConfig { node, connections: 4, rate, job_classes, owner: "c0".into(), token })
+    Callers::start(&CallersConfig { token, ..callers_config(node, rate, job_classes) })
 }
--- a/crates/hazelgrade-fault-injection/src/draw.rs
+++ b/crates/hazelgrade-fault-injection/src/draw.rs
@@ -11,15 +11,15 @@
 const SHARED_SEED: u64 = 0x5eed;
 
 /// Draws numbers evenly.
-struct Picker(MultiplyWithCarry);
+pub(crate) struct Picker(MultiplyWithCarry);
 
 impl Picker {
-    fn new(seed: u64) -> Picker {
+    pub(crate) fn new(seed: u64) -> Picker {
         Picker(MultiplyWithCarry::new(seed))
     }
 
     /// A number below `count`.
-    fn pick(&mut self, count: usize) -> usize {
+    pub(crate) fn pick(&mut self, count: usize) -> usize {
         ((self.0.next_f64() * count as f64) as usize).min(count.saturating_sub(1))
     }
 }
@@ -158,7 +158,7 @@
             let trigger = ongoing.draw_trigger(&mut picker, nodes);
             steps.push(Step { trigger, fault });
         }
-        FaultPlan { seed, nodes, rate: RATE, shared: None, steps }
+        FaultPlan { seed, nodes, rate: RATE, shared: None, soak: None, steps }
     }
 
     /// A plan of faults between nodes that share a budget of `total` units. Bytes on the way to the dependency are not
--- a/crates/hazelgrade-fault-injection/src/group/faults.rs
+++ b/crates/hazelgrade-fault-injection/src/group/faults.rs
@@ -30,18 +30,27 @@
             | Fault::Wake { .. }
             | Fault::Kill { .. }
             | Fault::Term { .. }
+            | Fault::TermThenKill { .. }
             | Fault::Hup { .. } => self.inject_node_fault(fault),
             Fault::Start { node, disk } => self.start_node(node, disk)?,
-            Fault::KillControl => self.control_service.kill(),
-            Fault::StopControl => self.control_service_suspended = self.control_service.signal(Signal::STOP),
+            Fault::KillControl => {
+                self.control_service.kill();
+                self.lessor_is_out(0);
+            }
+            Fault::StopControl => {
+                self.control_service_suspended = self.control_service.signal(Signal::STOP);
+                self.lessor_is_out(0);
+            }
             Fault::WakeControl => {
                 self.control_service.signal(Signal::CONT);
                 self.control_service_suspended = false;
             }
             Fault::StartControl { disk } => self.start_control(disk)?,
-            Fault::KillOther | Fault::StopOther | Fault::WakeOther | Fault::StartOther { .. } => {
+            Fault::KillOther | Fault::StopOther => {
                 self.inject_second_control_fault(fault)?;
+                self.lessor_is_out(1);
             }
+            Fault::WakeOther | Fault::StartOther { .. } => self.inject_second_control_fault(fault)?,
             Fault::CutKeepers { directions } => {
                 self.shared_budget.iter().for_each(|shared| shared.cut_lessors(directions));
             }
@@ -165,6 +174,10 @@
                 let member = &mut self.nodes[node];
                 member.draining = member.running && member.node.signal("TERM");
             }
+            Fault::TermThenKill { node } => {
+                let member = &mut self.nodes[node];
+                member.draining = member.running && member.node.terminate_then_kill();
+            }
             Fault::Hup { node } => {
                 self.nodes[node].node.signal("HUP");
             }
--- a/crates/hazelgrade-fault-injection/src/group/mod.rs
+++ b/crates/hazelgrade-fault-injection/src/group/mod.rs
@@ -11,7 +11,7 @@
 mod startup;
 
 pub use node::GroupNode;
-pub use startup::GroupError;
+pub use startup::{GroupError, Surroundings};
 
 use crate::history::History;
 use crate::shared_budget::SharedBudget;
--- a/crates/hazelgrade-fault-injection/src/group/node.rs
+++ b/crates/hazelgrade-fault-injection/src/group/node.rs
@@ -4,6 +4,7 @@
 use crate::proxy::FaultProxy;
 use hazelgrade_fakes::callers::Callers;
 use hazelgrade_fakes::executor::Executor;
+use hazelgrade_fakes::idle_clients::IdleClients;
 use hazelgrade_fakes::node_process::NodeProcess;
 use std::io;
 use std::time::Instant;
@@ -30,6 +31,8 @@
     /// A test lets it exit by its own store.
     pub(super) may_exit: bool,
     pub(super) callers: Option<Callers>,
+    /// Clients that say nothing, until the group recovers and drains.
+    pub(super) idle_clients: Option<IdleClients>,
     /// The operator's table `stream` and the tables after it, without what a test adds.
     pub(super) stream_settings: String,
 }
--- a/crates/hazelgrade-fault-injection/src/group/observation.rs
+++ b/crates/hazelgrade-fault-injection/src/group/observation.rs
@@ -14,6 +14,11 @@
 /// Jobs that have to succeed at each node for it to be seen as recovered.
 const RECOVERY_SUCCESSES: usize = 10;
 
+/// Whether a lessor grants what is free, by its report; `None` if it has not answered.
+fn may_grant(report: &Value) -> Option<bool> {
+    report.is_object().then(|| report["held_up"].is_null())
+}
+
 impl Group {
     /// Waits until each node is ready, has the latest version as its good one, and goes on serving its callers.
     pub(super) fn recovers(&mut self) -> bool {
@@ -96,13 +101,39 @@
             statuses.push(second.status());
             reports.push(second.budget_status());
         }
+        let may_grant: Vec<Option<bool>> = reports.iter().map(may_grant).collect();
         // A new total is in effect once every lessor says so.
         if reports.len() == shared.config.sites {
             shared.apply_pending_total(&reports);
         }
+        for (site, may_grant) in may_grant.into_iter().enumerate() {
+            match may_grant {
+                Some(true) => self.lessor_is_back(site),
+                Some(false) => self.lessor_is_out(site),
+                None => {}
+            }
+        }
         statuses
     }
 
+    fn nodes_of_site(&self, site: usize) -> Vec<usize> {
+        let sites = self.shared_budget.as_ref().map_or(0, |shared| shared.config.sites);
+        (0..self.nodes.len()).filter(|node| sites > 0 && node % sites == site).collect()
+    }
+
+    /// Notes that the lessor of a site does not run, or grants nothing new.
+    pub(super) fn lessor_is_out(&mut self, site: usize) {
+        for node in self.nodes_of_site(site) {
+            self.history.fault_begins(node, FaultKind::LessorOut, now());
+        }
+    }
+
+    fn lessor_is_back(&mut self, site: usize) {
+        for node in self.nodes_of_site(site) {
+            self.history.fault_ends(node, FaultKind::LessorOut, now());
+        }
+    }
+
     /// Notes by which version a node serves, by its control service's status.
     fn observe_version(&mut self, number: usize, status: &Value) {
         let member = &self.nodes[number];
--- a/crates/hazelgrade-fault-injection/src/group/restart.rs
+++ b/crates/hazelgrade-fault-injection/src/group/restart.rs
@@ -3,7 +3,7 @@
 use super::{Group, RECOVERY_TIMEOUT};
 use crate::history::FaultKind;
 use crate::plan::Disk;
-use crate::proxy::now;
+use crate::proxy::{ms, now};
 use hazelgrade_fakes::wait_until;
 use std::io;
 use std::time::Instant;
@@ -49,6 +49,7 @@
         let member = &self.nodes[node];
         if wait_until(RECOVERY_TIMEOUT, || member.node.health_check().is_some()) {
             self.history.fault_ends(node, FaultKind::Gone, now());
+            self.history.start_times.push(ms(began.elapsed().as_secs_f64() * 1000.0));
         } else {
             self.history
                 .unmet_expectations
--- a/crates/hazelgrade-fault-injection/src/group/shutdown.rs
+++ b/crates/hazelgrade-fault-injection/src/group/shutdown.rs
@@ -115,6 +115,7 @@
     /// Stops all callers and notes what became of their jobs.
     fn stop_callers(&mut self) {
         for (number, member) in self.nodes.iter_mut().enumerate() {
+            member.idle_clients = None;
             let Some(callers) = member.callers.take() else { continue };
             let CallersReport { results, unmatched_answers } = callers.stop();
             self.history.unmatched_answers += unmatched_answers;
--- a/crates/hazelgrade-fault-injection/src/group/startup.rs
+++ b/crates/hazelgrade-fault-injection/src/group/startup.rs
@@ -3,11 +3,12 @@
 use super::documents::{numbered_document, shown_digest};
 use super::{Group, GroupNode, NodeStanding};
 use crate::history::{FaultKind, History};
-use crate::plan::Link;
+use crate::plan::{Link, SoakPlan};
 use crate::proxy::{FaultProxy, ms, now};
 use crate::shared_budget::{SharedBudget, SharedBudgetConfig};
 use hazelgrade_fakes::control_process::ControlServiceProcess;
 use hazelgrade_fakes::executor::{Executor, Workload};
+use hazelgrade_fakes::idle_clients::IdleClients;
 use hazelgrade_fakes::node_process::NodeConfig;
 use hazelgrade_fakes::registry::Registry;
 use hazelgrade_fakes::{database, free_address, test_environment};
@@ -53,6 +54,35 @@
     stream_settings: String,
     /// Jobs a second to each node.
     rate: f64,
+    surroundings: Surroundings,
+}
+
+/// What a group is started with besides its processes.
+#[derive(Clone, Copy, Debug)]
+pub struct Surroundings {
+    /// Each node's time to drain, in ms.
+    pub stop_ms: u64,
+    /// For how long callers go on sending on a connection on which a node said that it drains.
+    pub drain_notice_delay: Duration,
+    /// Clients of each node that connect and say nothing.
+    pub idle_clients: usize,
+}
+
+impl Default for Surroundings {
+    /// Callers that stop at a drain, and nobody else.
+    fn default() -> Surroundings {
+        Surroundings { stop_ms: STOP_MS, drain_notice_delay: Duration::ZERO, idle_clients: 0 }
+    }
+}
+
+impl From<SoakPlan> for Surroundings {
+    fn from(soak: SoakPlan) -> Surroundings {
+        Surroundings {
+            stop_ms: u64::from(soak.stop_ms),
+            drain_notice_delay: Duration::from_millis(u64::from(soak.drain_notice_delay_ms)),
+            idle_clients: soak.idle_clients as usize,
+        }
+    }
 }
 
 impl Group {
@@ -78,7 +108,23 @@
         rate: f64,
         budget: Option<SharedBudgetConfig>,
     ) -> Result<Group, GroupError> {
-        let mut group = Group::start_processes(program, arguments, nodes, rate, budget)?;
+        Group::start_in(program, arguments, nodes, rate, budget, Surroundings::default())
+    }
+
+    /// The same in surroundings of its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Group::start`].
+    pub fn start_in(
+        program: &Path,
+        arguments: &[&str],
+        nodes: usize,
+        rate: f64,
+        budget: Option<SharedBudgetConfig>,
+        surroundings: Surroundings,
+    ) -> Result<Group, GroupError> {
+        let mut group = Group::start_processes(program, arguments, nodes, rate, budget, surroundings)?;
         if !group.recovers() {
             return Err(GroupError::NotReady { status: group.control_service.status() });
         }
@@ -91,6 +137,7 @@
         nodes: usize,
         rate: f64,
         budget: Option<SharedBudgetConfig>,
+        surroundings: Surroundings,
     ) -> io::Result<Group> {
         let first = numbered_document(1, false).map_err(io::Error::other)?;
         let mut control_service = ControlServiceProcess::prepare(program, arguments, "test", &first)?;
@@ -119,6 +166,7 @@
             control_services,
             stream_settings: format!("{STREAM_SETTINGS}{}", budget_settings.unwrap_or_default()),
             rate,
+            surroundings,
         };
         let members = (0..nodes).map(|number| setup.start(number)).collect::<io::Result<Vec<_>>>()?;
         let mut history = History {
@@ -164,10 +212,17 @@
             database: Some(address(Link::Database)),
             control: vec![address(Link::Control)],
             stream: self.stream_settings.clone(),
-            stop_ms: STOP_MS,
+            stop_ms: self.surroundings.stop_ms,
             log: std::env::var("RIG_LOG").unwrap_or_else(|_| "off".into()),
         };
-        let callers = test_environment::start_callers(address(Link::Callers), self.rate, &["read"]);
+        let callers = test_environment::start_late_callers(
+            address(Link::Callers),
+            self.rate,
+            &["read"],
+            self.surroundings.drain_notice_delay,
+        );
+        let idle_clients = (self.surroundings.idle_clients > 0)
+            .then(|| IdleClients::start(listen, self.surroundings.idle_clients));
         Ok(GroupNode {
             node: config.start()?,
             executor,
@@ -180,6 +235,7 @@
             draining: false,
             may_exit: false,
             callers: Some(callers),
+            idle_clients,
             stream_settings: self.stream_settings.clone(),
         })
     }
--- a/crates/hazelgrade-fault-injection/src/history.rs
+++ b/crates/hazelgrade-fault-injection/src/history.rs
@@ -13,8 +13,13 @@
 /// A lost job on its way to a process that is about to end may have been sent so long before the end was seen.
 const CROSSING_MS: f64 = 1000.0;
 
+/// What happened so long before a job was sent is told with it.
+const DESCRIBED_MS: f64 = 5000.0;
+
 /// So long before it was seen to be good a version may have been on trial.
 const TRIAL_MS: f64 = 3000.0;
+/// The trial that groups of nodes are started with.
+const SHORT_TRIAL_MS: f64 = 300.0;
 
 /// What was done to a node that excuses something.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +36,9 @@
     CallersHeld,
     /// What it depends on is cut off or slow: excuses only that a version can't be judged by its service.
     Hampered,
+    /// The lessor of its site is out, or grants nothing new: it may have no lease, and then nearly all its jobs are
+    /// rejected. Excuses only that a version can't be judged by its service.
+    LessorOut,
 }
 
 /// When a fault lasted.
@@ -109,6 +117,8 @@
     pub worst_budget_overload: Option<Overload>,
     /// Nodes that ended otherwise than they should, and how.
     pub unexpected_exits: Vec<(usize, String)>,
+    /// From the start of each node's process until it answered a health check.
+    pub start_times: Vec<Span>,
     /// What did not happen in time once all faults were over.
     pub unmet_expectations: Vec<String>,
 }
@@ -216,6 +226,31 @@
         })
     }
 
+    /// What was known of a job's node shortly before the job was sent: faults, and versions that it served by.
+    fn describe_before(&self, job: &Job) -> String {
+        let ms_before = |at: Time| job.sent.since(at).as_ms() - at.since(job.sent).as_ms();
+        let is_recent = |at: Time| ms_before(at) <= DESCRIBED_MS;
+        let faults = self.fault_intervals.iter().filter(|interval| {
+            interval.node == job.node && interval.from <= job.sent && interval.to.is_none_or(is_recent)
+        });
+        let faults = faults.map(|interval| {
+            let until =
+                interval.to.map_or("on".to_owned(), |to| format!("until {:.0} ms before", ms_before(to)));
+            format!("{:?} from {:.0} ms before {until}", interval.fault_kind, ms_before(interval.from))
+        });
+        let versions = self
+            .observations
+            .iter()
+            .filter(|seen| seen.node == job.node && seen.at <= job.sent && is_recent(seen.at));
+        let versions = versions.map(|seen| {
+            let harm = if self.harmful.contains(&seen.digest) { ", harmful" } else { "" };
+            format!("{} {} {:.0} ms before{harm}", seen.digest, seen.standing, ms_before(seen.at))
+        });
+        let all: Vec<String> = faults.chain(versions).collect();
+        let ran = if self.ran(job) { "; it ran" } else { "; it did not run" };
+        format!("{ran}; its node before: {}", if all.is_empty() { "nothing".into() } else { all.join(", ") })
+    }
+
     /// No job lost or late, but for faults of its node that excuse it.
     fn check_jobs(&self, report: &mut impl FnMut(&'static str, String)) {
         use FaultKind::*;
@@ -233,8 +268,13 @@
             };
             if let Some(rule) = broken {
                 let latency_ms = job.latency.as_ms();
-                let what =
-                    format!("job {} of node {}, {:?} after {latency_ms} ms", job.id, job.node, job.outcome);
+                let what = format!(
+                    "job {} of node {}, {:?} after {latency_ms} ms{}",
+                    job.id,
+                    job.node,
+                    job.outcome,
+                    self.describe_before(job)
+                );
                 report(rule, what);
             }
         }
@@ -288,8 +328,11 @@
                 report(
                     "no harm stays",
                     format!(
-                        "node {} took {} {} as good",
-                        observation.node, observation.number, observation.digest
+                        "node {} took {} {} as good; {}",
+                        observation.node,
+                        observation.number,
+                        observation.digest,
+                        self.describe_service_before(observation)
                     ),
                 );
             }
@@ -307,6 +350,18 @@
         }
     }
 
+    /// How the node's jobs fared in the second before a version may have come on trial.
+    fn describe_service_before(&self, observation: &NodeObservation) -> String {
+        let to = observation.since - Span::from_ms(SHORT_TRIAL_MS);
+        let from = to - Span::from_ms(1000.0);
+        let sent =
+            self.jobs.iter().filter(|job| job.node == observation.node && job.sent >= from && job.sent < to);
+        let (all, succeeded) = sent.fold((0, 0), |(all, succeeded), job| {
+            (all + 1, succeeded + usize::from(job.outcome == JobOutcome::Succeeded))
+        });
+        format!("{succeeded} of {all} jobs succeeded in the second before")
+    }
+
     /// Whether anything was done to the node while the version was on trial: with few jobs, or none that fare well
     /// before, service proves nothing.
     fn unjudged(&self, observation: &NodeObservation) -> bool {
--- a/crates/hazelgrade-fault-injection/src/lib.rs
+++ b/crates/hazelgrade-fault-injection/src/lib.rs
@@ -10,6 +10,7 @@
 /// One direction of a proxied link, as a state machine.
 pub mod direction;
 mod draw;
+mod draw_soak;
 /// A group of nodes as processes, with a proxy on each link.
 pub mod group;
 /// What happened to a group, and the checks of the rules.
--- a/crates/hazelgrade-fault-injection/src/plan.rs
+++ b/crates/hazelgrade-fault-injection/src/plan.rs
@@ -184,6 +184,11 @@
         /// The node.
         node: usize,
     },
+    /// Tells a node to drain, and kills it at the end of its time to drain.
+    TermThenKill {
+        /// The node.
+        node: usize,
+    },
     /// Tells a node to read its settings again.
     Hup {
         /// The node.
@@ -266,6 +271,9 @@
     /// The budget that the nodes share, if they do.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub shared: Option<SharedBudgetPlan>,
+    /// What surrounds the faults, in a soak.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub soak: Option<SoakPlan>,
     /// The steps, in order.
     #[serde(default, rename = "step")]
     pub steps: Vec<Step>,
@@ -281,6 +289,19 @@
     pub total: u32,
 }
 
+/// What surrounds the faults of a soak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoakPlan {
+    /// Each node's time to drain, in ms.
+    pub stop_ms: u32,
+    /// For how long callers go on sending on a connection on which a node said that it drains, in ms.
+    pub drain_notice_delay_ms: u32,
+    /// Clients of each node that connect and say nothing.
+    pub idle_clients: u32,
+    /// How long nothing happens before the first fault, in ms.
+    pub quiet_ms: u32,
+}
+
 impl FaultPlan {
     /// The plan in TOML, as [`FaultPlan::read`] reads it.
     pub fn to_toml(&self) -> String {
@@ -331,6 +352,7 @@
             | Fault::Wake { node }
             | Fault::Kill { node }
             | Fault::Term { node }
+            | Fault::TermThenKill { node }
             | Fault::Hup { node }
             | Fault::Start { node, .. } => Some(node),
             Fault::KillControl
--- a/crates/hazelgrade-fault-injection/src/plan_run.rs
+++ b/crates/hazelgrade-fault-injection/src/plan_run.rs
@@ -1,6 +1,6 @@
 //! Runs a fault plan on a group: waits for each step's trigger, injects its fault, and checks the rules at the end.
 
-use crate::group::{Group, GroupError, GroupNode};
+use crate::group::{Group, GroupError, GroupNode, Surroundings};
 use crate::history::{History, Violation};
 use crate::plan::{FaultPlan, SharedBudgetPlan, Step, Trigger};
 use crate::shared_budget::SharedBudgetConfig;
@@ -47,7 +47,12 @@
         total: whole,
         ..SharedBudgetConfig::default()
     });
-    let mut group = Group::start_with(program, arguments, plan.nodes, plan.rate, setting)?;
+    let surroundings = plan.soak.map_or(Surroundings::default(), Surroundings::from);
+    let mut group = Group::start_in(program, arguments, plan.nodes, plan.rate, setting, surroundings)?;
+    if let Some(soak) = plan.soak {
+        let quiet = Duration::from_millis(u64::from(soak.quiet_ms));
+        group.wait_until(quiet, |_| false);
+    }
     let mut unmet = 0;
     for step in &plan.steps {
         if !await_trigger(&mut group, step.trigger) {
--- a/crates/hazelgrade-fault-injection/tests/pure.rs
+++ b/crates/hazelgrade-fault-injection/tests/pure.rs
@@ -113,7 +113,7 @@
 
 #[test]
 fn plans_are_the_same_for_a_seed_and_come_back_from_what_is_written() {
-    for seed in 0..200 {
+    for seed in 0..200_u64 {
         let plan = FaultPlan::draw(seed, 5, 14);
         assert_eq!(plan, FaultPlan::draw(seed, 5, 14));
         assert_eq!(FaultPlan::read(&plan.to_toml()), Ok(plan));
@@ -289,3 +289,54 @@
     assert_eq!(part, Some(1.0 / 3.0));
     assert_eq!(history(vec![]).served_ratio(0, at(0.0), at(1.0), ms(1.0)), None);
 }
+
+/// A soak's plans are the same by the same seed, are read again from their TOML, and kill no node that stands still.
+#[test]
+fn plans_of_a_soak_are_drawn_by_seed_and_read_again() {
+    let mut drains = 0;
+    for seed in 0..200_u64 {
+        let shared = seed.is_multiple_of(2).then_some((2, 12));
+        let plan = FaultPlan::draw_soak(seed, 4, 14, shared);
+        assert_eq!(plan, FaultPlan::draw_soak(seed, 4, 14, shared));
+        assert_eq!(FaultPlan::read(&plan.to_toml()), Ok(plan.clone()));
+        let soak = plan.soak.expect("it is a soak");
+        assert!((1000..=4900).contains(&soak.stop_ms), "{soak:?}");
+        let mut draining: Vec<usize> = vec![];
+        for step in &plan.steps {
+            match step.fault {
+                Fault::TermThenKill { node } => draining.push(node),
+                Fault::Start { node, .. } => draining.retain(|other| *other != node),
+                Fault::Stall { .. } => assert!(draining.is_empty(), "seed {seed}"),
+                Fault::Term { node } => assert!(draining.contains(&node), "seed {seed}: without its kill"),
+                _ => {}
+            }
+        }
+        drains += plan.steps.iter().filter(|step| matches!(step.fault, Fault::TermThenKill { .. })).count();
+    }
+    assert!(drains > 100, "{drains}");
+}
+
+/// A harmful version that is taken as good counts, but not while the node's lessor is out: no lease, no service to judge by.
+#[test]
+fn a_harmful_version_is_excused_only_by_what_was_done_to_its_node() {
+    let mut history = History { harmful: vec!["bad".into()], ..History::default() };
+    let seen = |at_ms: f64| NodeObservation {
+        node: 0,
+        at: at(at_ms),
+        since: at(at_ms - 40.0),
+        disk: 0,
+        number: 4,
+        digest: "bad".into(),
+        standing: "good".into(),
+    };
+    history.observations.push(seen(20_000.0));
+    let broken =
+        |history: &History| history.violations().iter().filter(|one| one.rule == "no harm stays").count();
+    assert_eq!(broken(&history), 1);
+    history.fault_begins(1, FaultKind::LessorOut, at(19_000.0));
+    history.fault_begins(0, FaultKind::LessorOut, at(10_000.0));
+    history.fault_ends(0, FaultKind::LessorOut, at(15_000.0));
+    assert_eq!(broken(&history), 1, "another node's, and long over");
+    history.fault_begins(0, FaultKind::LessorOut, at(19_000.0));
+    assert_eq!(broken(&history), 0);
+}
--- a/crates/hazelgrade-server/tests/group/main.rs
+++ b/crates/hazelgrade-server/tests/group/main.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod nodes;
+mod soak;
 mod store;
 
 use hazelgrade_fault_injection::group::Group;
@@ -64,7 +65,7 @@
 /// Plays steps, and on failure shows the plan to play again.
 fn plays(steps: &[(Trigger, Fault)]) -> History {
     let step = steps.iter().map(|(trigger, fault)| Step { trigger: *trigger, fault: *fault }).collect();
-    played(&FaultPlan { seed: 0, nodes: NODES, rate: RATE, shared: None, steps: step })
+    played(&FaultPlan { seed: 0, nodes: NODES, rate: RATE, shared: None, soak: None, steps: step })
 }
 
 fn played(plan: &FaultPlan) -> History {
--- a/crates/hazelgrade-server/tests/instance/fleet.rs
+++ b/crates/hazelgrade-server/tests/instance/fleet.rs
@@ -47,8 +47,15 @@
         let rate = 2.0 * SHARE as f64 / CALL.as_secs_f64();
         let job_classes = vec!["read".to_owned()];
         let node = instance.listen;
-        let plan =
-            CallersConfig { node, connections: 3, rate, job_classes, owner: "acme".into(), token: None };
+        let plan = CallersConfig {
+            node,
+            connections: 3,
+            rate,
+            job_classes,
+            owner: "acme".into(),
+            token: None,
+            drain_notice_delay: Duration::ZERO,
+        };
         Member { instance, executor, link, callers: Callers::start(&plan) }
     };
     (0..NODES).map(member).collect()
