A node that rejects jobs for lack of a lease wants one call at least

Cause: demand is worked out from rejected jobs and the mean latency of calls. A node that has made no call knows no latency, so it wanted 0, and less than half a call was rounded to 0. Its site had lent its units while its nodes were away and owned nothing once the total was lowered; as nobody wanted any, nothing was recalled, no call was made, and no latency learned.

Evidence: `budget show` during the wait: 6 of 6 owned at the one site, 0 at the other, both holders there connected and heard 0.1 s ago, "wants 0"; nothing held up, both sites heard.

Change: one call at least is wanted while jobs are rejected for lack of a lease, as a decaying sum.

--- a/crates/hazelgrade-server/tests/budgets/main.rs
+++ b/crates/hazelgrade-server/tests/budgets/main.rs
@@ -571,6 +571,40 @@
     assert!(group.wait_until(SOON, |group| connected(group, false)), "{}", calls(&group));
 }
 
+/// Guards against nodes that are started at a site that owns nothing, and never have a unit as they never had one: they
+/// did not ask for any.
+#[test]
+fn nodes_that_start_at_a_site_without_units_get_some_back() {
+    let _one = one_at_a_time();
+    let setting = SharedBudgetConfig {
+        total: 12,
+        sites: 2,
+        call_duration: Duration::from_millis(150),
+        ..SharedBudgetConfig::default()
+    };
+    let mut group = group(4, 60.0, setting);
+    let nodes_of_second_site = [1, 3];
+    nodes_of_second_site.iter().for_each(|node| cause(&mut group, Fault::Kill { node: *node }));
+    assert!(
+        group.wait_until(SOON, |group| owned(group, 0) >= 10),
+        "{}",
+        group.control_service.budget_status()
+    );
+    // More is lent than its share is now.
+    cause(&mut group, Fault::SetBudgetTotal { units: 6 });
+    let owns_nothing = |group: &mut Group| owned(group, 0) == 6 && owned(group, 1) == 0;
+    assert!(group.wait_until(SOON, owns_nothing), "{}", group.control_service.budget_status());
+    for node in nodes_of_second_site {
+        cause(&mut group, Fault::Start { node, disk: Disk::Own });
+    }
+    assert!(
+        group.wait_until(SOON, |group| owned(group, 1) >= 2),
+        "{}",
+        group.control_service.budget_status()
+    );
+    kept(&group.finish());
+}
+
 #[test]
 fn drawn_plans_never_pass_the_whole() {
     let _one = one_at_a_time();
--- a/crates/hazelgrade/src/call_limiter.rs
+++ b/crates/hazelgrade/src/call_limiter.rs
@@ -26,6 +26,8 @@
 const TIMEOUT_LATENCY_RATIO: f64 = 16.0;
 /// Ratio of a lease's longest call time that a call may use: the network path to the dependency needs the rest.
 const LEASE_TIME_USE_RATIO: f64 = 0.8;
+/// With fewer jobs rejected for lack of a larger lease, in a decaying sum over the learning window, none is wanted.
+const MIN_LEASE_REJECTIONS: f64 = 0.1;
 /// Shortest mean latency that a throughput is worked out from, in milliseconds.
 const MIN_LATENCY_MS: f64 = 0.001;
 
@@ -273,11 +275,21 @@
             .map_or(0.0, |(best_ms, mean)| (mean.as_ms() / best_ms.max(MIN_LATENCY_MS) - 1.0).clamp(0.0, 1.0))
     }
 
+    /// Calls that would be in flight if no job were rejected for lack of a larger lease: one at least while jobs are, as
+    /// a server that could make no call yet knows no latency, and less than one would never be leased.
+    fn rejected_calls(&mut self, now: Time, learning_window: Span) -> f64 {
+        let rejected_jobs = self.lease_rejections.value(now);
+        if rejected_jobs < MIN_LEASE_REJECTIONS {
+            return 0.0;
+        }
+        (rejected_jobs * (self.latency.mean_or_zero(now) / learning_window)).max(1.0)
+    }
+
     /// Calls in flight, and those that would be: waiting calls, and calls of jobs rejected for lack of a larger lease.
     pub fn demand(&mut self, now: Time, learning_window: Span) -> CallDemand {
         let in_flight = self.in_flight_or_lingering(now);
-        let rejected = self.lease_rejections.value(now) * (self.latency.mean_or_zero(now) / learning_window);
-        let waiting = (self.queue.len() as f64 + rejected).min(self.permits());
+        let waiting =
+            (self.queue.len() as f64 + self.rejected_calls(now, learning_window)).min(self.permits());
         CallDemand { in_flight, wanted: in_flight + waiting }
     }
 
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -447,3 +447,23 @@
     assert_eq!(made_at(gone_at - ms(1.0)), 0, "it may still run");
     assert_eq!(made_at(gone_at), 1, "it is over");
 }
+
+/// A server that had made no call yet, and was given no lease, wanted none: it knew no latency to work its demand out
+/// from. At a site that owned nothing it rejected all jobs for ever.
+#[test]
+fn a_server_that_never_called_wants_a_lease_while_it_rejects_jobs_for_lack_of_one() {
+    let mut controller = setup().controller();
+    let lease = CallLease {
+        calls: 0.0,
+        expires: at(60_000.0),
+        calls_after_expiry: 0.0,
+        max_call_time: ms(700.0),
+        retry_after: ms(100.0),
+    };
+    round(&mut controller, at(0.0), |sink| sink.call_lease_updated(lease));
+    assert_eq!(controller.call_demand(at(0.0)).wanted, 0.0, "no job came");
+    let decisions = round(&mut controller, at(10.0), |sink| sink.job_arrived(job("a", at(10.0))));
+    assert!(rejected(&decisions, "a"), "{decisions:?}");
+    assert!(controller.call_demand(at(10.0)).wanted >= 1.0);
+    assert_eq!(controller.call_demand(at(120_000.0)).wanted, 0.0, "long after the last job");
+}
