Soak test's comments say what its seeds hold

Printed, the plans have none: 3000 and 3001 have one drain with a kill each and callers 10 s late, 4000 and 2003 have 300 idle clients and no drain.

--- a/crates/hazelgrade-server/tests/group/soak.rs
+++ b/crates/hazelgrade-server/tests/group/soak.rs
@@ -1,5 +1,5 @@
-//! A short soak, by fixed seeds: drains that end by a kill at the end of their time, signals in series, callers that hear
-//! of a drain late, idle clients, a quiet time before the first fault.
+//! A short soak, by fixed seeds: without a budget drains that end by a kill, with callers that hear of them late; with one
+//! idle clients and faults of lessors. Quiet times and drains under a budget are left to a soak by hand.
 
 use super::{alone, played};
 use hazelgrade_fault_injection::plan::FaultPlan;
@@ -8,12 +8,12 @@
 const FAULTS: usize = 10;
 const SITES: usize = 2;
 const TOTAL: u32 = 12;
-/// Between them: a drain with a kill and late callers, idle clients, a quiet time.
+/// Each with a drain that ends by a kill, and callers that go on for 10 s.
 const SEEDS: [u64; 2] = [3000, 3001];
-/// The second is that of a harmful version while no lessor grants anything.
+/// Both with idle clients; the second publishes a harmful version while lessors are out.
 const SHARED_SEEDS: [u64; 2] = [4000, 2003];
 
-/// Guards against jobs that are lost or run twice, and nodes that don't leave before their kill, at any of these.
+/// Guards against jobs that are lost or run twice, and nodes that don't leave before their kill.
 #[test]
 fn soaked_groups_keep_the_rules() {
     let _alone = alone();
