Review case 2: keep the connection in use, and end what was started on SIGTERM

Cause: with the load over, the node closed the resting connection after 10 s and the script took that for its end. Change: requests go on until the last second try; a script that is cut off ends its processes.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -124,8 +124,11 @@
             record("status:", " | ".join(control.status().split("\n")))
         stopped.set()
         await sending
-        await asyncio.sleep(RETRY_AFTER[1] + 6.0)
-        if node.process.poll() is not None or stub.ended:
+        while tasks:
+            await asyncio.sleep(1.0)
+            send("claim-check", None)
+        await asyncio.sleep(6.0)
+        if node.process.poll() is not None:
             print("the service instance has ended")
             return 2
     finally:
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))   # ends what was started, see `finally` in each case
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 
 
