--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,7 +4,6 @@
 import os
 import random
 import sys
-import tempfile
 import time
 
 sys.dont_write_bytecode = True
@@ -154,10 +153,4 @@
 
 
 if __name__ == "__main__":
-    with tempfile.TemporaryDirectory() as folder:
-        record = p.Record(os.path.join(HERE, "record.txt"))
-        try:
-            code = asyncio.run(main(record, folder))
-        finally:
-            record.close()
-    sys.exit(code)
+    p.run_case(main, os.path.join(HERE, "record.txt"))
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,7 @@
 cd "$(dirname "$0")" || exit 2
 command -v python3 >/dev/null || exit 2
 [ -x ../../target/release/hazelgrade ] || exit 2
-exec timeout -k 5 118 python3 case.py
+timeout -k 5 113 python3 case.py
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))   # ends what was started, see `finally` in each case
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
@@ -404,3 +405,17 @@
 
 def text(body):
     return repr(base64.b64decode(body).decode())
+
+
+def run_case(main, record_path):
+    """Runs a case and exits with its code: 2 if it failed in itself."""
+    code = 2
+    with tempfile.TemporaryDirectory() as folder:
+        record = Record(record_path)
+        try:
+            code = asyncio.run(main(record, folder))
+        except Exception:
+            traceback.print_exc()
+        finally:
+            record.close()
+    sys.exit(code)
