Start a job that may not run twice once only, also after the executor's link broke

Cause: JobTask::resend_lost_commands sent every unconfirmed command again once the gauges asked for on the new link came back. They prove that all events up to them were read. They don't prove that the run still goes on when the EXEC arrives: its EXIT may lie behind the gauges, and the executor keeps neither results nor keys. Nothing looked at whether the job may run again.

Evidence: in the record each second start follows the EXIT of the first by milliseconds, on a new link; a test that sends the EXIT right behind the gauges sees the second EXEC each time on the code before. Ruled out: keys (the class has none), repeats of callers (each id is sent once), events handled twice (cursors).

Change: routing/run_command.rs decides what is done about a command that may be lost, from what is known of its receipt: not sent (no link; ExecutorLink::send now says so), sent, in doubt. A start is sent again if there was no link, or if the job is idempotent and still wanted. Else the run's next event is awaited until the job's deadline; then the run is given up, so that it doesn't count as running for ever. A command that is sent again counts as sent then: before, its first time counted, and it was not recovered when the next link broke too. Counters commands_in_doubt and lost_starts tell what happened.

Why it works: no sequence of events on the new link lets an EXEC of such a job follow one that may have been received.

--- a/crates/hazelgrade-server/src/routing/context.rs
+++ b/crates/hazelgrade-server/src/routing/context.rs
@@ -9,7 +9,7 @@
 use super::result_cache::ResultCache;
 use crate::protocol::executor::{Command, encode};
 use crate::protocol::jsonrpc::{self, Answer};
-use crate::transport::executor::ExecutorLink;
+use crate::transport::executor::{ExecutorLink, NoLink};
 use hazelgrade::api::JobId;
 use hazelgrade_settings::HostSettings;
 use std::cell::RefCell;
@@ -91,8 +91,11 @@
         }
     }
 
-    /// Sends a command to the executor. The command is dropped while there is no link to the executor.
-    pub fn send_command(&self, command: &Command) {
-        self.executor.send(&encode(command));
+    /// Sends a command to the executor.
+    ///
+    /// # Errors
+    /// [`NoLink`] if the command was dropped because there is no link to the executor.
+    pub fn send_command(&self, command: &Command) -> Result<(), NoLink> {
+        self.executor.send(&encode(command))
     }
 }
--- a/crates/hazelgrade-server/src/routing/controller_driver.rs
+++ b/crates/hazelgrade-server/src/routing/controller_driver.rs
@@ -244,7 +244,8 @@
         let now = self.clock.now();
         if let Some(token) = self.timers.take_due(now) {
             let ticket = token.to_string();
-            self.executor.send(&executor::encode(&Command::Gauges { ticket: &ticket }));
+            // A request that is dropped is handled as one that the executor does not answer.
+            let _ = self.executor.send(&executor::encode(&Command::Gauges { ticket: &ticket }));
             return;
         }
         if let Some(token) = self.timers.take_without_gauges() {
--- a/crates/hazelgrade-server/src/routing/counters.rs
+++ b/crates/hazelgrade-server/src/routing/counters.rs
@@ -21,6 +21,10 @@
     pub denied: u64,
     /// Requests counted in `denied` that the key set could not verify, which suggests that the key set is wrong.
     pub unverified: u64,
+    /// Commands to runs that may have been lost with the link to the executor and were not sent again.
+    pub commands_in_doubt: u64,
+    /// Runs that were given up because the command that started them may have been lost.
+    pub lost_starts: u64,
     /// Jobs whose run the executor refused to start because the job is unknown to it.
     pub unknown_to_executor: u64,
 }
--- a/crates/hazelgrade-server/src/routing/executor_events.rs
+++ b/crates/hazelgrade-server/src/routing/executor_events.rs
@@ -6,6 +6,7 @@
 
 use super::controller_driver::ControllerDriver;
 use super::in_flight::{InFlightTable, JobEvent};
+use super::run_command::LossWindow;
 use crate::protocol::executor::{self, Command, Event};
 use crate::transport::executor::{ExecutorLink, LinkHandler};
 use async_executor::LocalExecutor;
@@ -156,7 +157,8 @@
         }
         // Commands may have been lost with the previous link, even if the executor was not up when that link ended.
         if self.lost_from.get().is_some() {
-            self.link.send(&executor::encode(&Command::Gauges { ticket: CAUGHT_UP_TICKET }));
+            // While this link is being replaced, the request is dropped and made on the next link.
+            let _ = self.link.send(&executor::encode(&Command::Gauges { ticket: CAUGHT_UP_TICKET }));
         }
     }
 
@@ -171,9 +173,9 @@
     fn handle_gauges(&self, ticket: &str, values: &[f64]) {
         match ticket {
             CAUGHT_UP_TICKET => {
-                if let Some(lost_from) = self.lost_from.take() {
-                    let lost_until = self.link_opened_at.get();
-                    self.in_flight.broadcast(|| JobEvent::LinkRestored { lost_from, lost_until });
+                if let Some(from) = self.lost_from.take() {
+                    let lost = LossWindow { from, until: self.link_opened_at.get() };
+                    self.in_flight.broadcast(|| JobEvent::LinkRestored(lost));
                 }
             }
             LAST_REQUEST_TICKET => {
--- a/crates/hazelgrade-server/src/routing/in_flight.rs
+++ b/crates/hazelgrade-server/src/routing/in_flight.rs
@@ -2,6 +2,7 @@
 //! still have to be answered.
 
 use super::outcome::CallEnd;
+use super::run_command::LossWindow;
 use crate::protocol::Body;
 use crate::protocol::executor::RunEnd;
 use crate::protocol::jsonrpc::{Answer, JobRequest};
@@ -12,7 +13,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
 
 /// Capacity of the event queue of a job's task. The task handles events in order and waits for nothing else, so few
 /// events are queued at any time.
@@ -56,16 +56,12 @@
     },
     /// The executor refused to start the run, because the job is unknown to it.
     StartRefused,
-    /// The link to the executor is up again. Commands sent between `lost_from` and `lost_until` may have been lost.
-    LinkRestored {
-        /// Earliest instant at which a lost command may have been sent.
-        lost_from: Instant,
-        /// Instant from which on commands were sent over the new link.
-        lost_until: Instant,
-    },
+    /// The link to the executor is up again, and all events that were missed have been handled. Commands that were sent
+    /// within this window may have been lost.
+    LinkRestored(LossWindow),
     /// The executor has restarted: all earlier runs have ended.
     ExecutorRestarted,
-    // Reported by the database, other jobs and the client:
+    // Reported by the database, other jobs, the client and the timers of the job:
     /// The call has ended.
     CallEnded(CallEnd),
     /// The original job, of which this job is a retry, has ended.
@@ -75,6 +71,8 @@
     },
     /// The caller has disconnected or has aborted the job.
     CallerDisconnected,
+    /// No event of the run has arrived in time after a command to the run that may have been lost.
+    RunSilent,
 }
 
 /// The destination of the answer to a job.
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -8,13 +8,15 @@
 use super::controller_driver::ControllerEvent;
 use super::in_flight::JobEvent;
 use super::outcome::{self, CallEnd};
+use super::run_command::{LossWindow, Recovery, RunCommand, UnconfirmedCommand};
 use crate::protocol::executor::{Command, RunEnd};
 use crate::protocol::jsonrpc::{Answer, JobRequest};
 use crate::protocol::{Body, from_bytes, to_bytes};
+use crate::transport::executor::NoLink;
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::future::or;
-use hazelgrade::api::{Job, JobId, Outcome};
+use hazelgrade::api::{Idempotency, Job, JobId, Outcome};
 use hazelgrade::time::{Span, Time};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,40 +40,75 @@
 }
 
 impl Phase {
-    /// Returns when the call in flight times out, if a call is in flight.
-    fn call_deadline(&self) -> Option<Instant> {
+    /// Returns the timeout that ends the wait for the next event, if there is one.
+    fn timeout(&self) -> Option<Timeout> {
         match self {
-            Phase::Running(run) => Some(run.call.as_ref()?.sent.as_ref()?.deadline),
+            Phase::Running(run) => run.timeout(),
             Phase::Queued | Phase::Finished { .. } => None,
         }
     }
 }
 
+/// What a running job waits for at most until an instant.
+#[derive(Clone, Copy)]
+enum Timeout {
+    /// The end of the call in flight.
+    Call(Instant),
+    /// The next event of the run, after a command that may have been lost.
+    RunEvent(Instant),
+}
+
+impl Timeout {
+    fn at(self) -> Instant {
+        match self {
+            Timeout::Call(at) | Timeout::RunEvent(at) => at,
+        }
+    }
+
+    /// Returns the event that happens if nothing else happens before the timeout.
+    fn event(self) -> JobEvent {
+        match self {
+            Timeout::Call(_) => JobEvent::CallEnded(CallEnd::TimedOut),
+            Timeout::RunEvent(_) => JobEvent::RunSilent,
+        }
+    }
+}
+
 /// A run on the executor.
 struct Run {
     started_at: Time,
     /// The last command that the executor may not have received.
     unconfirmed: Option<UnconfirmedCommand>,
-    /// When the unconfirmed command was sent.
-    unconfirmed_sent_at: Instant,
+    /// Until when the run's next event is awaited, while the unconfirmed command is in doubt.
+    event_deadline: Option<Instant>,
     /// Whether the controller has cancelled the run.
     cancelled: bool,
     /// The call that the run waits for, if there is one.
     call: Option<RequestedCall>,
 }
 
-/// A command that is sent again if it may have been lost with the link to the executor.
-enum UnconfirmedCommand {
-    StartRun,
-    CallReply(Body),
-    SkipCall { cursor: u64 },
-}
-
 impl Run {
-    /// Records a command that is being sent to the executor.
-    fn set_unconfirmed(&mut self, command: UnconfirmedCommand) {
-        self.unconfirmed = Some(command);
-        self.unconfirmed_sent_at = Instant::now();
+    /// Records a command that was passed to the link to the executor.
+    fn set_unconfirmed(&mut self, command: RunCommand, sent: Result<(), NoLink>) {
+        self.unconfirmed = Some(UnconfirmedCommand::new(command, sent));
+        self.event_deadline = None;
+    }
+
+    /// Records that the executor has received all commands to the run.
+    fn confirm_commands(&mut self) {
+        self.unconfirmed = None;
+        self.event_deadline = None;
+    }
+
+    /// Returns whether the executor may not have received the command that starts the run.
+    fn is_start_unconfirmed(&self) -> bool {
+        self.unconfirmed.as_ref().is_some_and(|unconfirmed| *unconfirmed.command() == RunCommand::StartRun)
+    }
+
+    fn timeout(&self) -> Option<Timeout> {
+        let call_sent = self.call.as_ref().and_then(|call| call.sent.as_ref());
+        let call = call_sent.map(|sent| Timeout::Call(sent.deadline));
+        call.or(self.event_deadline.map(Timeout::RunEvent))
     }
 }
 
@@ -99,18 +136,21 @@
     body: Body,
     /// The original job, of which this job is a retry.
     retry_of: Option<JobId>,
+    /// Whether the class at the job's arrival allows more than one run of the job.
+    is_idempotent: bool,
+    /// When the job must have been answered.
+    deadline: Time,
     context: Rc<RequestContext>,
 }
 
 /// Passes a job to the controller, and handles the events of the job until the job has ended.
 pub async fn run(request: JobRequest, events: Receiver<JobEvent>, context: Rc<RequestContext>) {
     let JobRequest { job, body, .. } = request;
-    let job_class = context.settings.borrow().job_classes[job.job_class].name.clone();
-    let task = JobTask { id: job.id.clone(), job_class, body, retry_of: job.retry_of.clone(), context };
+    let task = JobTask::new(&job, body, context);
     task.arrived(job);
     let mut phase = Phase::Queued;
     let result = loop {
-        let Some(event) = next_event(&events, phase.call_deadline()).await else { break None };
+        let Some(event) = next_event(&events, phase.timeout()).await else { break None };
         phase = match phase {
             Phase::Queued => task.handle_while_queued(event),
             Phase::Running(run) => task.handle_while_running(run, event),
@@ -123,19 +163,32 @@
     task.finish(result);
 }
 
-/// Waits for the next event of a job. If no event comes by the deadline of the job's call, the event is the call's
-/// timeout.
-async fn next_event(events: &Receiver<JobEvent>, call_deadline: Option<Instant>) -> Option<JobEvent> {
-    let Some(deadline) = call_deadline else { return events.recv().await.ok() };
-    let timeout = async {
-        Timer::at(deadline).await;
+/// Waits for the next event of a job, or for the timeout.
+async fn next_event(events: &Receiver<JobEvent>, timeout: Option<Timeout>) -> Option<JobEvent> {
+    let Some(timeout) = timeout else { return events.recv().await.ok() };
+    let timed_out = async {
+        Timer::at(timeout.at()).await;
         Timer::after(UNREAD_GRACE).await;
-        Some(JobEvent::CallEnded(CallEnd::TimedOut))
+        Some(timeout.event())
     };
-    or(async { events.recv().await.ok() }, timeout).await
+    or(async { events.recv().await.ok() }, timed_out).await
 }
 
 impl JobTask {
+    fn new(job: &Job, body: Body, context: Rc<RequestContext>) -> JobTask {
+        let settings = context.settings.borrow().clone();
+        let job_class = &settings.job_classes[job.job_class];
+        JobTask {
+            id: job.id.clone(),
+            job_class: job_class.name.clone(),
+            body,
+            retry_of: job.retry_of.clone(),
+            is_idempotent: job_class.idempotency == Idempotency::Idempotent,
+            deadline: job.received_at + job_class.deadline,
+            context,
+        }
+    }
+
     /// Notifies the controller that the job has arrived. With `--log trace`, a job can be traced by its id through
     /// every instance that handled the job.
     fn arrived(&self, job: Job) {
@@ -170,8 +223,9 @@
             | JobEvent::CallRequested { .. }
             | JobEvent::RunEnded { .. }
             | JobEvent::StartRefused
-            | JobEvent::LinkRestored { .. }
+            | JobEvent::LinkRestored(_)
             | JobEvent::ExecutorRestarted
+            | JobEvent::RunSilent
             | JobEvent::CallEnded(_) => Phase::Queued,
         }
     }
@@ -186,20 +240,20 @@
             JobEvent::SkipCall => self.skip_call(&mut run),
             JobEvent::CancelRun => self.cancel_run(&mut run),
             JobEvent::Answer(answer) => self.context.answer(&self.id, &answer),
-            JobEvent::LinkRestored { lost_from, lost_until } => {
-                self.resend_lost_commands(&run, lost_from, lost_until);
-            }
+            JobEvent::LinkRestored(lost) => self.recover_commands(&mut run, lost),
             JobEvent::RunEnded { end, elapsed, body } => {
                 self.context.trust_caller(&self.id);
                 return self.run_ended(end, elapsed, body);
             }
-            JobEvent::StartRefused if matches!(run.unconfirmed, Some(UnconfirmedCommand::StartRun)) => {
+            JobEvent::StartRefused if run.is_start_unconfirmed() => {
                 self.context.count_unknown_to_executor(&self.id);
                 return self.run_ended(RunEnd::Superseded, Span::ZERO, "".into());
             }
-            JobEvent::ExecutorRestarted => {
-                let elapsed = self.context.driver.clock.now().since(run.started_at);
-                return self.run_ended(RunEnd::Failed, elapsed, "".into());
+            JobEvent::ExecutorRestarted => return self.run_lost(&run),
+            JobEvent::RunSilent => {
+                self.context.counters.borrow_mut().lost_starts += 1;
+                tracing::debug!(job = &*self.id, "run given up: its start may have been lost with the link");
+                return self.run_lost(&run);
             }
             JobEvent::CallerDisconnected
             | JobEvent::StartRun
@@ -234,21 +288,22 @@
     /// Starts the job's run on the executor.
     fn start_run(&self) -> Run {
         tracing::trace!(job = &*self.id, "run started");
-        self.send_start_run();
-        Run {
+        let mut run = Run {
             started_at: self.context.driver.clock.now(),
-            unconfirmed: Some(UnconfirmedCommand::StartRun),
-            unconfirmed_sent_at: Instant::now(),
+            unconfirmed: None,
+            event_deadline: None,
             cancelled: false,
             call: None,
-        }
+        };
+        self.send_run_command(&mut run, RunCommand::StartRun);
+        run
     }
 
     /// Handles the run's request for a call. The request confirms every command that was sent to the run before.
     fn call_requested(&self, run: &mut Run, cursor: u64, body: Body) {
         self.context.trust_caller(&self.id);
         tracing::trace!(job = &*self.id, cursor, "call requested");
-        run.unconfirmed = None;
+        run.confirm_commands();
         run.call = Some(RequestedCall { cursor, body, sent: None });
         self.context.driver.notify(ControllerEvent::CallRequested { id: self.id.clone() });
     }
@@ -296,10 +351,8 @@
         if let CallEnd::Replied { body, .. } = end
             && outcome == Outcome::Completed
         {
-            let reply = from_bytes(&body);
-            self.send_call_reply(&reply);
             run.call = None;
-            run.set_unconfirmed(UnconfirmedCommand::CallReply(reply));
+            self.send_run_command(run, RunCommand::CallReply { body: from_bytes(&body) });
         }
         self.context.driver.notify(ControllerEvent::CallEnded { id: self.id.clone(), outcome, elapsed });
     }
@@ -308,8 +361,7 @@
     fn skip_call(&self, run: &mut Run) {
         let Some(RequestedCall { cursor, .. }) = run.call.take() else { return };
         tracing::trace!(job = &*self.id, "call skipped");
-        self.send_skip_call(cursor);
-        run.set_unconfirmed(UnconfirmedCommand::SkipCall { cursor });
+        self.send_run_command(run, RunCommand::SkipCall { cursor });
     }
 
     /// Cancels the run. The run ends when the executor reports its end.
@@ -319,21 +371,38 @@
         self.send_cancel_run();
     }
 
-    /// Sends the unconfirmed command again, but only if the command may have been lost with the link: if the executor
-    /// has received the command, the run may already wait for its next call.
-    fn resend_lost_commands(&self, run: &Run, lost_from: Instant, lost_until: Instant) {
-        let may_be_lost = lost_from <= run.unconfirmed_sent_at && run.unconfirmed_sent_at < lost_until;
-        match run.unconfirmed.as_ref().filter(|_| may_be_lost) {
-            Some(UnconfirmedCommand::StartRun) => self.send_start_run(),
-            Some(UnconfirmedCommand::CallReply(reply)) => self.send_call_reply(reply),
-            Some(UnconfirmedCommand::SkipCall { cursor }) => self.send_skip_call(*cursor),
-            None => {}
+    /// Recovers the commands to the run that may have been lost with the link to the executor.
+    fn recover_commands(&self, run: &mut Run, lost: LossWindow) {
+        if let Some(mut unconfirmed) = run.unconfirmed.take() {
+            let may_start_twice = self.is_idempotent && self.context.in_flight.is_unanswered(&self.id);
+            match unconfirmed.recover(lost, may_start_twice) {
+                Recovery::NotNeeded => {}
+                Recovery::SendAgain => unconfirmed.sent_again(self.send(unconfirmed.command())),
+                Recovery::AwaitEvent => self.await_event(run),
+            }
+            run.unconfirmed = Some(unconfirmed);
         }
         if run.cancelled {
             self.send_cancel_run();
         }
     }
 
+    /// Awaits the next event of a run whose start is in doubt until the job must have been answered.
+    fn await_event(&self, run: &mut Run) {
+        if run.event_deadline.is_some() {
+            return;
+        }
+        self.context.counters.borrow_mut().commands_in_doubt += 1;
+        let remaining = self.deadline.since(self.context.driver.clock.now());
+        run.event_deadline = Some(Instant::now() + Duration::from_secs_f64(remaining.as_ms() / 1000.0));
+    }
+
+    /// Handles the loss of the run: it has ended without an event, or it may never have started.
+    fn run_lost(&self, run: &Run) -> Phase {
+        let elapsed = self.context.driver.clock.now().since(run.started_at);
+        self.run_ended(RunEnd::Failed, elapsed, "".into())
+    }
+
     /// Handles the end of the run, and cancels the run's call. If the run was cancelled before the job was answered,
     /// the job is queued again.
     fn run_ended(&self, end: RunEnd, elapsed: Span, body: Body) -> Phase {
@@ -364,20 +433,25 @@
         }
     }
 
-    fn send_start_run(&self) {
-        let command = Command::StartRun { id: &self.id, job_class: &self.job_class, body: &self.body };
-        self.context.send_command(&command);
-    }
-
-    fn send_call_reply(&self, body: &str) {
-        self.context.send_command(&Command::CallReply { id: &self.id, body });
+    /// Sends a command that lets the run start or continue, and records it as unconfirmed.
+    fn send_run_command(&self, run: &mut Run, command: RunCommand) {
+        let sent = self.send(&command);
+        run.set_unconfirmed(command, sent);
     }
 
-    fn send_skip_call(&self, cursor: u64) {
-        self.context.send_command(&Command::SkipCall { id: &self.id, cursor });
+    fn send(&self, command: &RunCommand) -> Result<(), NoLink> {
+        let id = &self.id;
+        self.context.send_command(&match command {
+            RunCommand::StartRun => Command::StartRun { id, job_class: &self.job_class, body: &self.body },
+            RunCommand::CallReply { body } => Command::CallReply { id, body },
+            RunCommand::SkipCall { cursor } => Command::SkipCall { id, cursor: *cursor },
+        })
     }
 
+    /// Cancels the run on the executor. The command is sent again on each new link until the run has ended; a run that
+    /// has ended is not affected by it.
     fn send_cancel_run(&self) {
-        self.context.send_command(&Command::CancelRun { id: &self.id });
+        // Without a link the command is dropped, and sent on the next link.
+        let _ = self.context.send_command(&Command::CancelRun { id: &self.id });
     }
 }
--- a/crates/hazelgrade-server/src/routing/mod.rs
+++ b/crates/hazelgrade-server/src/routing/mod.rs
@@ -18,4 +18,5 @@
 pub mod liveness;
 pub mod outcome;
 pub mod result_cache;
+pub mod run_command;
 pub mod timers;
--- a/crates/hazelgrade-server/src/transport/executor.rs
+++ b/crates/hazelgrade-server/src/transport/executor.rs
@@ -25,6 +25,11 @@
 /// continue.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// There is no link to the executor, so a line was dropped: the executor cannot have received it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("there is no link to the executor")]
+pub struct NoLink;
+
 /// Provides the first and the last line to send on a link, and handles the lines received from the executor.
 pub trait LinkHandler {
     /// Returns the first line to send on each new link.
@@ -79,13 +84,16 @@
         self.old_link_done.notify();
     }
 
-    /// Queues a line for the executor. While there is no link the line is dropped, and the caller must send it again
-    /// later.
-    pub fn send(&self, line: &str) {
-        if let Some(write_queue) = &*self.write_queue.borrow() {
-            write_queue.push(line.as_bytes());
-            self.unanswered_since.set(Some(self.unanswered_since.get().unwrap_or_else(Instant::now)));
-        }
+    /// Queues a line for the executor.
+    ///
+    /// # Errors
+    /// [`NoLink`] if the line was dropped because there is no link. The caller must send it again later.
+    pub fn send(&self, line: &str) -> Result<(), NoLink> {
+        let write_queue = self.write_queue.borrow();
+        let write_queue = write_queue.as_ref().ok_or(NoLink)?;
+        write_queue.push(line.as_bytes());
+        self.unanswered_since.set(Some(self.unanswered_since.get().unwrap_or_else(Instant::now)));
+        Ok(())
     }
 
     /// Keeps the link open until the future is dropped. Received lines may have at most `max_line_bytes` bytes.
--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -327,13 +327,17 @@
         self.send(&json!({"event": "METERS", "ticket": request["ticket"], "figures": [3, 0.5]}));
     }
 
-    /// Answers `count` requests for gauges. Panics if another command arrives before the last of them.
-    pub fn answer_gauges(&mut self, count: usize) {
+    /// Answers `count` requests for gauges, and returns the ticket of the last of them. Panics if another command
+    /// arrives before that one.
+    pub fn answer_gauges(&mut self, count: usize) -> String {
+        let mut ticket = String::new();
         for _ in 0..count {
             let received = self.receive();
             assert_eq!(received["event"], "METER", "{received}");
             self.answer_gauge_request(&received);
+            ticket = received["ticket"].as_str().unwrap_or_default().to_owned();
         }
+        ticket
     }
 
     pub fn bytes(&mut self, count: usize) -> Vec<u8> {
