Know a keyed job by the names of its class and tenant, not by their slots

Cause: the key of the result cache (JobKey) held the tenant's slot. find_tenant gives the slot of the name while tenants are configured, and 0 for whoever asks where none is, so the second try had another key and found neither record nor result.

Evidence: without the version each second try gets the result of the first run; class, body and idempotency key are the same in both tries, the spared customer is the one in slot 0, and a test with two tries and one version fails for the customer in slot 1 alone. Ruled out: the window (no record had expired) and the trial (the version was taken as good).

Change: JobOwner holds the names of class and tenant, the tenant as the request names it whether or not it is configured, else as the caller's rights determine it. The key of the result cache and what tells two requests under one id apart are made of it. Slots remain what the controller and the reservation of slots go by.

Why it works: the names are the same in both tries whatever the versions between them configure.

Also mended by it, seen in the test: where no tenant is configured, two owners with the same key and body were one job, and the second got the result of the first.

Tests: streaming/names.rs, five histories of names and one of owners. On the code before fail: tenants go, tenants come, the same key of another tenant. The others pass there too.

--- a/crates/hazelgrade-server/src/program/serving_document/host.rs
+++ b/crates/hazelgrade-server/src/program/serving_document/host.rs
@@ -125,7 +125,7 @@
         settings: &ServingSettings,
     ) -> Result<RevisedTable<JobClass>, String> {
         let request_context = &self.context.request_context;
-        let is_busy = |slot| request_context.in_flight.any(|job_class, _| job_class == slot);
+        let is_busy = |slot| request_context.in_flight.any(|slots| slots.job_class == slot);
         let job_classes = self.job_classes.borrow();
         job_classes
             .revised(now, &settings.job_classes, quarantine, MAX_JOB_CLASSES, is_busy)
@@ -134,7 +134,7 @@
 
     fn revised_tenants(&self, now: Time, settings: &ServingSettings) -> Result<RevisedTable<Tenant>, String> {
         let request_context = &self.context.request_context;
-        let is_busy = |slot| request_context.in_flight.any(|_, tenant| tenant == slot);
+        let is_busy = |slot| request_context.in_flight.any(|slots| slots.tenant == slot);
         let classes = settings.job_classes.iter();
         let longest = classes.map(|(_, class)| quarantine(class)).max().unwrap_or(Span::ZERO);
         let tenants = self.tenants.borrow();
--- a/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
@@ -55,8 +55,9 @@
     pub idempotency_key: Option<String>,
     /// The token that identifies the caller, if the request contains one.
     pub token: Option<String>,
-    /// Whether the request names the tenant. If not, the caller's rights determine the tenant.
-    pub names_tenant: bool,
+    /// The tenant that the request names, whether or not it is a configured one. If the request names none, the
+    /// caller's rights determine the tenant.
+    pub tenant_name: Option<String>,
 }
 
 /// The undecoded parameters of a message.
@@ -223,7 +224,6 @@
     let received_at = params.number("ts", |ts| ts > 0.0 && ts < 1e15, "Unix milliseconds")?;
     params.number("via", |via| via >= 0.0 && via.fract() == 0.0, "a whole number")?;
     let tenant_name = params.optional_text("owner", "a customer of this site")?;
-    let names_tenant = tenant_name.is_some();
     let tenant = find_tenant(tenant_name.as_deref(), settings)?;
     let is_retry = params.is_retry()?;
     let queued_kb =
@@ -247,7 +247,7 @@
         over_caller_limit: false,
         lease_retry_after: None,
     };
-    Ok(JobRequest { call_id, job, body, idempotency_key, token, names_tenant })
+    Ok(JobRequest { call_id, job, body, idempotency_key, token, tenant_name })
 }
 
 /// Returns the index of a tenant. The name may be absent if no configured tenant has a name or if the caller's rights
--- a/crates/hazelgrade-server/src/routing/callers.rs
+++ b/crates/hazelgrade-server/src/routing/callers.rs
@@ -105,7 +105,7 @@
         }
         let mut authenticator = self.authenticator.borrow_mut();
         let authenticator = authenticator.as_mut().ok_or(DenyReason::UnknownKey)?;
-        let tenant = request.names_tenant.then_some(request.job.tenant);
+        let tenant = request.tenant_name.as_ref().map(|_| request.job.tenant);
         let token = request
             .token
             .take()
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -5,7 +5,7 @@
 use super::context::RequestContext;
 use super::in_flight::{JobFingerprint, Responder};
 use super::job;
-use super::result_cache::JobKey;
+use super::result_cache::{JobKey, JobOwner};
 use crate::protocol::jsonrpc::{self, Answer, ClientMessage, JobRequest, RequestError};
 use crate::transport::clients::{Accepting, ClientConnection, ClientConnections, EndedConnection};
 use crate::transport::tls::Tls;
@@ -174,7 +174,8 @@
         if connection.open_call(call_id).is_some() {
             return self.answer_violation(connection, &jsonrpc::call_id_in_use());
         }
-        let fingerprint = JobFingerprint::new(&request);
+        let owner = self.owner(&request);
+        let fingerprint = JobFingerprint::new(&request, owner.clone());
         if self.answer_if_in_flight(connection, &request, &fingerprint) {
             return;
         }
@@ -189,8 +190,7 @@
         }
         let idempotency_key = request.idempotency_key.take().filter(|_| is_keyed);
         let job = &mut request.job;
-        let key = idempotency_key
-            .map(|key| context.result_cache.job_key(job.job_class, job.tenant, key, &request.body));
+        let key = idempotency_key.map(|key| context.result_cache.job_key(owner, &key, &request.body));
         if self.answer_if_finished(connection, call_id, &id, key.as_ref()) {
             return;
         }
@@ -201,10 +201,20 @@
         self.take_tokens(&mut request);
         context.counters.borrow_mut().arrived += 1;
         let responder = Responder { connection: connection.clone(), call_id };
-        let events = context.in_flight.insert(id, fingerprint, responder);
+        let events = context.in_flight.insert(&request.job, fingerprint, responder);
         self.tasks.spawn(job::run(request, events, context.clone())).detach();
     }
 
+    /// Returns the names by which a job is known in every version of the configuration.
+    fn owner(&self, request: &JobRequest) -> JobOwner {
+        let settings = self.context.settings.borrow();
+        let configured = settings.tenants.get(request.job.tenant).and_then(Option::as_deref);
+        JobOwner {
+            job_class: settings.job_classes[request.job.job_class].name.as_str().into(),
+            tenant: request.tenant_name.as_deref().or(configured).map(Rc::from),
+        }
+    }
+
     /// Answers a job whose id is already in flight, and counts a violation. Returns `false` if the id is not in flight.
     fn answer_if_in_flight(
         &self,
--- a/crates/hazelgrade-server/src/routing/in_flight.rs
+++ b/crates/hazelgrade-server/src/routing/in_flight.rs
@@ -2,13 +2,14 @@
 //! still have to be answered.
 
 use super::outcome::CallEnd;
+use super::result_cache::JobOwner;
 use super::run_command::LossWindow;
 use crate::protocol::Body;
 use crate::protocol::executor::RunEnd;
 use crate::protocol::jsonrpc::{Answer, JobRequest};
 use crate::transport::clients::ClientConnection;
 use async_channel::{Receiver, Sender, bounded};
-use hazelgrade::api::JobId;
+use hazelgrade::api::{Job, JobId};
 use hazelgrade::time::{Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -87,8 +88,7 @@
 /// Tells whether two requests with the same job id request the same job.
 #[derive(PartialEq)]
 pub struct JobFingerprint {
-    job_class: usize,
-    tenant: usize,
+    owner: JobOwner,
     received_at: Time,
     queued_kb: f64,
     priority_rank: f64,
@@ -96,12 +96,11 @@
 }
 
 impl JobFingerprint {
-    /// Returns the fingerprint of a request as it was decoded.
-    pub fn new(request: &JobRequest) -> JobFingerprint {
+    /// Returns the fingerprint of a request as it was decoded, for a job of this owner.
+    pub fn new(request: &JobRequest, owner: JobOwner) -> JobFingerprint {
         let job = &request.job;
         JobFingerprint {
-            job_class: job.job_class,
-            tenant: job.tenant,
+            owner,
             received_at: job.received_at,
             queued_kb: job.queued_kb,
             priority_rank: job.priority_rank,
@@ -116,6 +115,16 @@
     /// `None` once the job has been answered.
     responder: Option<Responder>,
     fingerprint: JobFingerprint,
+    slots: JobSlots,
+}
+
+/// The slots of a job's class and tenant, which stay reserved while the job is in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct JobSlots {
+    /// The slot of the job class.
+    pub job_class: usize,
+    /// The slot of the tenant.
+    pub tenant: usize,
 }
 
 /// All jobs in flight.
@@ -128,10 +137,11 @@
 
 impl InFlightTable {
     /// Inserts a job, and returns the receiver of the job's events.
-    pub fn insert(&self, id: JobId, fingerprint: JobFingerprint, responder: Responder) -> Receiver<JobEvent> {
+    pub fn insert(&self, job: &Job, fingerprint: JobFingerprint, responder: Responder) -> Receiver<JobEvent> {
         let (sender, events) = bounded(EVENT_QUEUE_CAPACITY);
-        let entry = InFlightJob { events: sender, responder: Some(responder), fingerprint };
-        self.jobs.borrow_mut().insert(id, entry);
+        let slots = JobSlots { job_class: job.job_class, tenant: job.tenant };
+        let entry = InFlightJob { events: sender, responder: Some(responder), fingerprint, slots };
+        self.jobs.borrow_mut().insert(job.id.clone(), entry);
         events
     }
 
@@ -140,10 +150,9 @@
         self.jobs.borrow_mut().remove(id);
     }
 
-    /// Returns whether any job in flight matches a predicate on the indexes of its job class and tenant.
-    pub fn any(&self, matches: impl Fn(usize, usize) -> bool) -> bool {
-        let jobs = self.jobs.borrow();
-        jobs.values().any(|entry| matches(entry.fingerprint.job_class, entry.fingerprint.tenant))
+    /// Returns whether the slots of any job in flight match a predicate.
+    pub fn any(&self, matches: impl Fn(JobSlots) -> bool) -> bool {
+        self.jobs.borrow().values().any(|entry| matches(entry.slots))
     }
 
     /// Returns the number of jobs in flight.
--- a/crates/hazelgrade-server/src/routing/result_cache.rs
+++ b/crates/hazelgrade-server/src/routing/result_cache.rs
@@ -8,14 +8,24 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{BuildHasher, RandomState};
+use std::rc::Rc;
+
+/// The names of a job's class and tenant, which stay the same across versions of the configuration. Their slots do not:
+/// a tenant has another slot, or none, once tenants are configured for the first time or no longer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobOwner {
+    /// The name of the job class.
+    pub job_class: Rc<str>,
+    /// The tenant that the request names or, if it names none, the one that the caller's rights determine.
+    pub tenant: Option<Rc<str>>,
+}
 
 /// Identifies a keyed job across retries by job class, tenant, idempotency key and body. The idempotency key alone is
 /// not enough: anyone who has seen the key could obtain the result with another body, or store another job under it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobKey {
-    job_class: usize,
-    tenant: usize,
-    idempotency_key: String,
+    owner: JobOwner,
+    idempotency_key: Rc<str>,
     /// Keyed hash of the body, stored instead of the body because bodies may have kilobytes. As the hash is keyed,
     /// clients cannot construct collisions.
     body_digest: u64,
@@ -159,8 +169,12 @@
     }
 
     /// Returns the key of a job. Keys from different caches cannot be compared, as each cache hashes with its own key.
-    pub fn job_key(&self, job_class: usize, tenant: usize, idempotency_key: String, body: &Body) -> JobKey {
-        JobKey { job_class, tenant, idempotency_key, body_digest: self.body_hasher.hash_one(body) }
+    pub fn job_key(&self, owner: JobOwner, idempotency_key: &str, body: &Body) -> JobKey {
+        JobKey {
+            owner,
+            idempotency_key: idempotency_key.into(),
+            body_digest: self.body_hasher.hash_one(body),
+        }
     }
 
     /// Returns the finished job that is stored under this id, if there is one.
--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -1,6 +1,7 @@
 //! Runs the service instance as a process, with fakes on loopback addresses for the executor, the registry, the
 //! database and the clients.
 
+use hazelgrade_server::routing::result_cache::JobOwner;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -365,6 +366,11 @@
     }
 }
 
+/// Returns the names under which jobs of the class "book" and the tenant "acme" are known.
+pub fn job_owner() -> JobOwner {
+    JobOwner { job_class: "book".into(), tenant: Some("acme".into()) }
+}
+
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("the system time is after 1970").as_millis() as u64
 }
--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -650,7 +650,7 @@
             let job_id: JobId = id.as_str().into();
             let at = Time::from_ms(received_at);
             let prior = {
-                let job_key = result_cache.job_key(0, 0, key.to_string(), &"".into());
+                let job_key = result_cache.job_key(job_owner(), &key.to_string(), &"".into());
                 result_cache.arrived(&job_id, job_key, at, Span::from_ms(MAX_READ_DELAY))
             };
             let expects_prior = attempts
--- a/crates/hazelgrade-server/tests/instance/input.rs
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -295,7 +295,7 @@
     let (now, result_cache) = (Time::from_ms(0.0), ResultCache::new(10));
     for (index, id) in ["a1", "a2"].into_iter().enumerate() {
         let id = id.into();
-        let key = result_cache.job_key(0, 0, index.to_string(), &"".into());
+        let key = result_cache.job_key(job_owner(), &index.to_string(), &"".into());
         result_cache.arrived(&id, key, now, Span::ZERO);
         result_cache.store_record(&id, now, Span::from_ms(1000.0 + index as f64));
         result_cache.finish(&id, now, Some("12345678".into()));
--- a/crates/hazelgrade-server/tests/recorded_messages.rs
+++ b/crates/hazelgrade-server/tests/recorded_messages.rs
@@ -190,7 +190,7 @@
                 jsonrpc::decode(job_line(job_class).as_bytes(), &host_settings(authenticates_callers));
             let Ok(ClientMessage::Job(request)) = decoded else { panic!("{decoded:?}") };
             assert_eq!((request.call_id, &*request.job.id, request.job.job_class), (7, "a1", class_index));
-            assert_eq!((request.job.tenant, request.names_tenant), (0, true));
+            assert_eq!((request.job.tenant, request.tenant_name.as_deref()), (0, Some("acme")));
             assert_eq!((request.job.received_at.as_ms(), request.job.queued_kb), (1000.5, 12.5));
             assert_eq!((request.job.priority_rank, request.job.is_retry), (0.5, true));
             assert_eq!((&*request.body, request.idempotency_key.as_deref()), ("aGk=", Some(key)));
--- a/crates/hazelgrade-server/tests/streaming/main.rs
+++ b/crates/hazelgrade-server/tests/streaming/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::expect_used, clippy::panic)]
 
 mod control;
+mod names;
 mod node;
 
 use hazelgrade_config::{Document, Version};
--- /dev/null
+++ b/crates/hazelgrade-server/tests/streaming/names.rs
@@ -0,0 +1,105 @@
+//! What becomes of a job that has run when a later version changes the names or the kind by which the job is known.
+
+use super::*;
+use hazelgrade_fakes::documents;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The result that the fake executor makes for every run.
+const RESULT: &str = "cmVzdWx0";
+
+/// A class of keyed jobs, whose retries may come within a minute.
+const KEYED: &str = "goal_ms = 1000\ncut_off_ms = 3000\nrepeats = \"numbered\"\nwindow_ms = 60000\n";
+
+/// Returns a document with this class "order" and these tenants.
+fn document_with(order: &str, tenants: &[&str]) -> Document {
+    let tenants = tenants.iter().map(|name| format!("[customer.{name}]\nquota_per_s = 100\n"));
+    let rest = format!("[use_case.order]\n{order}{}", tenants.collect::<String>());
+    documents::document(&[documents::READ], 0, &rest).expect("the document is valid")
+}
+
+/// A caller that sends one job at a time.
+struct Caller {
+    connection: BufReader<TcpStream>,
+    last_call: u64,
+}
+
+impl Caller {
+    fn connect(node: &NodeProcess) -> Caller {
+        let connection = TcpStream::connect(node.config.listen).expect("the node accepts a connection");
+        connection.set_read_timeout(Some(Duration::from_secs(5))).expect("set the read timeout");
+        Caller { connection: BufReader::new(connection), last_call: 0 }
+    }
+
+    /// Sends a job of the class "order" under the key "k1", and returns its answer.
+    fn order(&mut self, id: &str, tenant: &str) -> Value {
+        self.last_call += 1;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time is after 1970");
+        let request = json!({"jsonrpc": "2.0", "id": self.last_call, "method": "order", "params": {
+            "req": id, "ts": unix.as_millis() as u64, "via": 1, "owner": tenant, "opkey": "k1", "resent": 1,
+            "need": 12.5, "level": 0.5, "body": "aGVsbG8="}});
+        self.connection.get_mut().write_all(format!("{request}\n").as_bytes()).expect("the request is sent");
+        let mut line = String::new();
+        self.connection.read_line(&mut line).expect("the job is answered in time");
+        serde_json::from_str(&line).expect("the answer is JSON")
+    }
+}
+
+/// Guards against a second run of a keyed job within its window, because a later version knows it under another slot or
+/// as another kind of job.
+#[test]
+fn a_keyed_job_that_has_run_is_answered_with_its_result_after_each_change_of_names_and_kind() {
+    let with = |tenants: &[&str]| document_with(KEYED, tenants);
+    let changes: [(&str, &str, Vec<Document>); 5] = [
+        ("tenants go", "north", vec![with(&["east", "north"]), with(&[])]),
+        ("tenants come", "north", vec![with(&[]), with(&["east", "north"])]),
+        (
+            "tenants go and return",
+            "north",
+            vec![with(&["east", "north"]), with(&[]), with(&["east", "north"])],
+        ),
+        (
+            "the tenant goes and returns",
+            "north",
+            vec![with(&["east", "north"]), with(&["east"]), with(&["east", "north"])],
+        ),
+        ("another tenant comes first", "north", vec![with(&["north"]), with(&["a", "north"])]),
+    ];
+    for (change, tenant, versions) in changes {
+        let environment = TestEnvironment::new(FAST_WORKLOAD);
+        let node = environment.node(SHORT_TRIAL);
+        let (mut subscriber, _) = environment.subscriber();
+        let mut caller = Caller::connect(&node);
+        let mut tries = 0;
+        for (number, version) in (1..).zip(&versions) {
+            complete_trial(&mut subscriber, number, version);
+            let is_between = number > 1 && (number as usize) < versions.len();
+            if !is_between {
+                tries += 1;
+                let answer = caller.order(&format!("try{tries}"), tenant);
+                assert_eq!(answer["result"]["body"], RESULT, "{change}: try {tries}: {answer}");
+            }
+        }
+        let runs: Vec<String> = environment.executor.runs().into_keys().collect();
+        assert_eq!(runs, ["try1"], "{change}");
+    }
+}
+
+/// Guards against taking jobs of two tenants, or of two classes, for one because no tenant is configured.
+#[test]
+fn the_same_key_of_another_tenant_is_another_job_also_where_no_tenant_is_configured() {
+    for tenants in [&["east", "north"][..], &[]] {
+        let environment = TestEnvironment::new(FAST_WORKLOAD);
+        let node = environment.node(SHORT_TRIAL);
+        let (mut subscriber, _) = environment.subscriber();
+        let mut caller = Caller::connect(&node);
+        complete_trial(&mut subscriber, 1, &document_with(KEYED, tenants));
+        for (id, tenant) in [("try1", "north"), ("try2", "east"), ("try3", "north"), ("try4", "east")] {
+            assert_eq!(caller.order(id, tenant)["result"]["body"], RESULT);
+        }
+        let runs: Vec<String> = environment.executor.runs().into_keys().collect();
+        assert_eq!(runs, ["try1", "try2"], "{tenants:?}");
+    }
+}
