Link a repeat to its original whatever kind of job its class has now

And, without any new version, two tries of one at-most-once job under one key both ran if the second came while the first ran.

Cause: the host finds that the try repeats a job (retry_of), but Controller::link_or_record_keyed looked at that for classes that are numbered now, alone.

Change: link_to_original links the repeats of all classes but reissuable ones; record_keyed stores records for numbered classes as before. Of two tries that were read in one batch and name each other the one that was read first runs: an at-most-once original in flight has no record to tell.

Why it works: that the original may have run is what counts, and that is known by the host's link.

Tests, both seen to fail on the code before: names.rs, "the class gets at-most-once jobs"; serving.rs, a_second_try_of_a_running_at_most_once_job_gets_the_result_of_the_first.

--- a/crates/hazelgrade-server/tests/instance/serving.rs
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -346,6 +346,29 @@
     assert_eq!(client.receive()["result"]["body"], "b25l");
 }
 
+/// Guards against a second run of an at-most-once job that is sent again under its key while it runs.
+#[test]
+fn a_second_try_of_a_running_at_most_once_job_gets_the_result_of_the_first() {
+    let instance = Instance::start_with(|configuration| {
+        configuration["settings"]["classes"][1]["idempotency"] = json!("unsafe");
+    });
+    let (mut link, mut client) = instance.ready();
+    let keyed_job = |call: u64, id: &str| {
+        let mut job = job(call, "book", id);
+        job["params"]["opkey"] = json!("order-7");
+        job
+    };
+    client.send(&keyed_job(1, "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    client.send(&keyed_job(2, "a2"));
+    // The next command is for the next job: none was sent for the second try.
+    start_run(&mut link, &mut client, 3, "read", "b1");
+    link.send(&run_ended(1, "a1", "good", "b25l"));
+    for _ in 0..2 {
+        assert_eq!(client.receive()["result"]["body"], "b25l");
+    }
+}
+
 #[test]
 fn an_abort_cancels_the_run_and_an_abort_of_a_finished_job_does_nothing() {
     let instance = Instance::start();
--- a/crates/hazelgrade-server/tests/streaming/names.rs
+++ b/crates/hazelgrade-server/tests/streaming/names.rs
@@ -12,6 +12,8 @@
 
 /// A class of keyed jobs, whose retries may come within a minute.
 const KEYED: &str = "goal_ms = 1000\ncut_off_ms = 3000\nrepeats = \"numbered\"\nwindow_ms = 60000\n";
+/// The same class, whose jobs must not be sent again.
+const AT_MOST_ONCE: &str = "goal_ms = 1000\ncut_off_ms = 3000\nrepeats = \"at-most-once\"\n";
 
 /// Returns a document with this class "order" and these tenants.
 fn document_with(order: &str, tenants: &[&str]) -> Document {
@@ -52,7 +54,7 @@
 #[test]
 fn a_keyed_job_that_has_run_is_answered_with_its_result_after_each_change_of_names_and_kind() {
     let with = |tenants: &[&str]| document_with(KEYED, tenants);
-    let changes: [(&str, &str, Vec<Document>); 5] = [
+    let changes: [(&str, &str, Vec<Document>); 6] = [
         ("tenants go", "north", vec![with(&["east", "north"]), with(&[])]),
         ("tenants come", "north", vec![with(&[]), with(&["east", "north"])]),
         (
@@ -66,6 +68,11 @@
             vec![with(&["east", "north"]), with(&["east"]), with(&["east", "north"])],
         ),
         ("another tenant comes first", "north", vec![with(&["north"]), with(&["a", "north"])]),
+        (
+            "the class gets at-most-once jobs",
+            "north",
+            vec![with(&["north"]), document_with(AT_MOST_ONCE, &["north"])],
+        ),
     ];
     for (change, tenant, versions) in changes {
         let environment = TestEnvironment::new(FAST_WORKLOAD);
--- a/crates/hazelgrade/src/controller/admission.rs
+++ b/crates/hazelgrade/src/controller/admission.rs
@@ -14,7 +14,7 @@
     /// Decides on a job that has just been read: the job waits for the result of the job of which it is a retry, is
     /// given up, or stays in the run queue.
     pub(super) fn admit(&mut self, now: Time, id: &JobId, decisions: &mut dyn Decisions) {
-        if !self.link_or_record_keyed(now, id, decisions) {
+        if self.link_to_original(now, id, decisions) || !self.record_keyed(now, id, decisions) {
             return;
         }
         if !self.is_admissible_in_drain(now, id) {
@@ -34,21 +34,35 @@
         self.reject_if_call_queue_full(now, id, decisions);
     }
 
-    /// Links a keyed retry to its original job, or stores an idempotency record for a new keyed job. Returns whether
-    /// the admission of the job is still to be decided, which is always so for jobs of other classes.
-    fn link_or_record_keyed(&mut self, now: Time, id: &JobId, decisions: &mut dyn Decisions) -> bool {
+    /// Links a retry to its original job, and returns whether the job was linked. What counts is that the original may
+    /// have run, not whether the class had idempotency keys then: a new version of the settings may change that.
+    fn link_to_original(&mut self, now: Time, id: &JobId, decisions: &mut dyn Decisions) -> bool {
         let Some(tracked) = self.jobs.get(id) else { return false };
-        if tracked.class.idempotency != Idempotency::Keyed {
-            return true;
+        if tracked.class.idempotency == Idempotency::Idempotent {
+            return false;
         }
-        self.records.remove_outdated(now);
-        // Two jobs that were read in one batch may each name the other as the original. The first one has no record yet
-        // and is admitted.
-        let is_original = |prior: &JobId| self.records.contains(prior) || !self.jobs.contains(prior);
-        if tracked.job.retry_of.as_ref().is_some_and(is_original) {
+        if tracked.class.idempotency == Idempotency::Keyed {
+            self.records.remove_outdated(now);
+        }
+        // Two jobs that were read in one batch may each name the other as the original. The one that was read first is
+        // admitted.
+        let was_read_before = |prior: &TrackedJob| prior.sequence < tracked.sequence;
+        let is_original =
+            |prior: &JobId| self.records.contains(prior) || self.jobs.get(prior).is_none_or(was_read_before);
+        let is_retry = tracked.job.retry_of.as_ref().is_some_and(is_original);
+        if is_retry {
             decisions.await_original(id);
             self.enter(now, id, Stage::AwaitingOriginal);
-            return false;
+        }
+        is_retry
+    }
+
+    /// Stores an idempotency record for a new keyed job. Returns whether the admission of the job is still to be decided,
+    /// which is always so for jobs of other classes.
+    fn record_keyed(&mut self, now: Time, id: &JobId, decisions: &mut dyn Decisions) -> bool {
+        let Some(tracked) = self.jobs.get(id) else { return false };
+        if tracked.class.idempotency != Idempotency::Keyed {
+            return true;
         }
         let retry_window = tracked.class.retry_window;
         if self.may_duplicate_run(tracked) {
--- a/crates/hazelgrade/src/job_table.rs
+++ b/crates/hazelgrade/src/job_table.rs
@@ -86,10 +86,6 @@
         self.jobs.get_mut(id)
     }
 
-    pub fn contains(&self, id: &JobId) -> bool {
-        self.jobs.contains_key(id)
-    }
-
     pub fn is_empty(&self) -> bool {
         self.jobs.is_empty()
     }
