Never send a call's reply twice: the run may wait for its next call by then

What callers saw: a served result that was made with wrong data.

Cause: the same place as that of the second start: a RETURN that was not confirmed was sent again once the gauges came back on the new link. They don't prove that the run still waits for that call when the RETURN arrives: its next CALLOUT may lie behind them. RETURN does not name its call, so the executor can't tell.

Evidence: a test that sends the second CALLOUT right behind the gauges sees the first reply again each time on the code before. Ruled out: replies of the database (each call of a job has a connection of its own), events handled twice (cursors).

Change: a reply that may have been received is not sent again. The run's next event is awaited for a twentieth of the deadline of its class; a reply that arrived shows by it. If nothing comes: where answers without a call are allowed, BYPASS, the one command that names its call; else a reissuable job is cancelled and started anew (if cancelling ends a run at a call); else the job is failed by its deadline. A reply for which there was no link is sent on the next one. All of it is decided in routing/run_command.rs. Counters silent_runs and lost_runs.

Why it works: no RETURN is ever sent for a call that another RETURN may have answered.

Cost: a job whose reply was lost waits a twentieth of its deadline and is answered without that call, or runs once more, or fails if neither is allowed.

On the code before fail: the second call behind the missed events, and the lost replies.

--- a/crates/hazelgrade-server/src/program/serving_document/host.rs
+++ b/crates/hazelgrade-server/src/program/serving_document/host.rs
@@ -183,6 +183,7 @@
         name: table.name(slot),
         idempotency: class.idempotency,
         deadline: class.deadline,
+        may_skip_calls: class.allows_answers_without_call(),
         in_use: table.is_in_use(slot),
     };
     table.settings.iter().enumerate().map(entry).collect()
--- a/crates/hazelgrade-server/src/routing/counters.rs
+++ b/crates/hazelgrade-server/src/routing/counters.rs
@@ -23,8 +23,10 @@
     pub unverified: u64,
     /// Commands to runs that may have been lost with the link to the executor and were not sent again.
     pub commands_in_doubt: u64,
-    /// Runs that were given up because the command that started them may have been lost.
-    pub lost_starts: u64,
+    /// Runs from which nothing was heard for some time after a call reply that may have been lost.
+    pub silent_runs: u64,
+    /// Runs that were given up at the deadline of their job, because a command to them may have been lost.
+    pub lost_runs: u64,
     /// Jobs whose run the executor refused to start because the job is unknown to it.
     pub unknown_to_executor: u64,
 }
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -8,7 +8,7 @@
 use super::controller_driver::ControllerEvent;
 use super::in_flight::JobEvent;
 use super::outcome::{self, CallEnd};
-use super::run_command::{LossWindow, Recovery, RunCommand, UnconfirmedCommand};
+use super::run_command::{LossWindow, Recovery, RunCommand, RunRules, SilenceResponse, UnconfirmedCommand};
 use crate::protocol::executor::{Command, RunEnd};
 use crate::protocol::jsonrpc::{Answer, JobRequest};
 use crate::protocol::{Body, from_bytes, to_bytes};
@@ -16,7 +16,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::future::or;
-use hazelgrade::api::{Idempotency, Job, JobId, Outcome};
+use hazelgrade::api::{Cancellation, Idempotency, Job, JobId, Outcome};
 use hazelgrade::time::{Span, Time};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -136,10 +136,9 @@
     body: Body,
     /// The original job, of which this job is a retry.
     retry_of: Option<JobId>,
-    /// Whether the class at the job's arrival allows more than one run of the job.
-    is_idempotent: bool,
-    /// When the job must have been answered.
-    deadline: Time,
+    /// What may be done to the job's runs, by its class at its arrival.
+    rules: RunRules,
+    received_at: Time,
     context: Rc<RequestContext>,
 }
 
@@ -163,6 +162,10 @@
     task.finish(result);
 }
 
+fn to_duration(span: Span) -> Duration {
+    Duration::from_secs_f64(span.as_ms() / 1000.0)
+}
+
 /// Waits for the next event of a job, or for the timeout.
 async fn next_event(events: &Receiver<JobEvent>, timeout: Option<Timeout>) -> Option<JobEvent> {
     let Some(timeout) = timeout else { return events.recv().await.ok() };
@@ -183,8 +186,13 @@
             job_class: job_class.name.clone(),
             body,
             retry_of: job.retry_of.clone(),
-            is_idempotent: job_class.idempotency == Idempotency::Idempotent,
-            deadline: job.received_at + job_class.deadline,
+            rules: RunRules {
+                is_idempotent: job_class.idempotency == Idempotency::Idempotent,
+                may_skip_calls: job_class.may_skip_calls,
+                is_cancellable: settings.cancellation == Cancellation::Discards,
+                deadline: job_class.deadline,
+            },
+            received_at: job.received_at,
             context,
         }
     }
@@ -250,11 +258,12 @@
                 return self.run_ended(RunEnd::Superseded, Span::ZERO, "".into());
             }
             JobEvent::ExecutorRestarted => return self.run_lost(&run),
-            JobEvent::RunSilent => {
-                self.context.counters.borrow_mut().lost_starts += 1;
-                tracing::debug!(job = &*self.id, "run given up: its start may have been lost with the link");
+            JobEvent::RunSilent if self.until_deadline() == Duration::ZERO => {
+                self.context.counters.borrow_mut().lost_runs += 1;
+                tracing::debug!(job = &*self.id, "run given up: a command to it may have been lost");
                 return self.run_lost(&run);
             }
+            JobEvent::RunSilent => self.respond_to_silence(&mut run),
             JobEvent::CallerDisconnected
             | JobEvent::StartRun
             | JobEvent::StartRefused
@@ -312,7 +321,7 @@
     fn start_call(&self, run: &mut Run, timeout: Span) {
         let Some(call) = &mut run.call else { return };
         tracing::trace!(job = &*self.id, timeout_ms = timeout.as_ms(), "call started");
-        let until_deadline = Duration::from_secs_f64(timeout.as_ms() / 1000.0) + REPLY_GRACE;
+        let until_deadline = to_duration(timeout) + REPLY_GRACE;
         call.sent = Some(SentCall {
             started_at: self.context.driver.clock.now(),
             deadline: Instant::now() + until_deadline,
@@ -350,9 +359,9 @@
         tracing::trace!(job = &*self.id, ?outcome, elapsed_ms = elapsed.as_ms(), "call ended");
         if let CallEnd::Replied { body, .. } = end
             && outcome == Outcome::Completed
+            && let Some(RequestedCall { cursor, .. }) = run.call.take()
         {
-            run.call = None;
-            self.send_run_command(run, RunCommand::CallReply { body: from_bytes(&body) });
+            self.send_run_command(run, RunCommand::CallReply { cursor, body: from_bytes(&body) });
         }
         self.context.driver.notify(ControllerEvent::CallEnded { id: self.id.clone(), outcome, elapsed });
     }
@@ -374,11 +383,10 @@
     /// Recovers the commands to the run that may have been lost with the link to the executor.
     fn recover_commands(&self, run: &mut Run, lost: LossWindow) {
         if let Some(mut unconfirmed) = run.unconfirmed.take() {
-            let may_start_twice = self.is_idempotent && self.context.in_flight.is_unanswered(&self.id);
-            match unconfirmed.recover(lost, may_start_twice) {
+            match unconfirmed.recover(lost, self.rules, self.is_wanted()) {
                 Recovery::NotNeeded => {}
                 Recovery::SendAgain => unconfirmed.sent_again(self.send(unconfirmed.command())),
-                Recovery::AwaitEvent => self.await_event(run),
+                Recovery::AwaitEvent { limit } => self.await_event(run, limit),
             }
             run.unconfirmed = Some(unconfirmed);
         }
@@ -387,14 +395,43 @@
         }
     }
 
-    /// Awaits the next event of a run whose start is in doubt until the job must have been answered.
-    fn await_event(&self, run: &mut Run) {
+    /// Returns whether somebody waits for the job's answer.
+    fn is_wanted(&self) -> bool {
+        self.context.in_flight.is_unanswered(&self.id)
+    }
+
+    /// Awaits the next event of a run after a command that may have been lost, for `limit` at most and not longer than
+    /// until the job's deadline.
+    fn await_event(&self, run: &mut Run, limit: Option<Span>) {
         if run.event_deadline.is_some() {
             return;
         }
         self.context.counters.borrow_mut().commands_in_doubt += 1;
-        let remaining = self.deadline.since(self.context.driver.clock.now());
-        run.event_deadline = Some(Instant::now() + Duration::from_secs_f64(remaining.as_ms() / 1000.0));
+        let until_deadline = self.until_deadline();
+        let limit = limit.map_or(until_deadline, to_duration);
+        run.event_deadline = Some(Instant::now() + limit.min(until_deadline));
+    }
+
+    /// Responds to a run from which nothing was heard in time after a call reply that may have been lost.
+    fn respond_to_silence(&self, run: &mut Run) {
+        self.context.counters.borrow_mut().silent_runs += 1;
+        run.event_deadline = Some(Instant::now() + self.until_deadline());
+        let Some(unconfirmed) = &run.unconfirmed else { return };
+        let response = unconfirmed.respond_to_silence(self.rules, self.is_wanted());
+        tracing::debug!(job = &*self.id, ?response, "call reply may have been lost");
+        match response {
+            SilenceResponse::SkipCall { cursor } => {
+                self.send_run_command(run, RunCommand::SkipCall { cursor });
+            }
+            SilenceResponse::Restart => self.cancel_run(run),
+            SilenceResponse::AwaitDeadline => {}
+        }
+    }
+
+    /// Returns the time until the job must have been answered.
+    fn until_deadline(&self) -> Duration {
+        let deadline = self.received_at + self.rules.deadline;
+        to_duration(deadline.since(self.context.driver.clock.now()))
     }
 
     /// Handles the loss of the run: it has ended without an event, or it may never have started.
@@ -443,7 +480,7 @@
         let id = &self.id;
         self.context.send_command(&match command {
             RunCommand::StartRun => Command::StartRun { id, job_class: &self.job_class, body: &self.body },
-            RunCommand::CallReply { body } => Command::CallReply { id, body },
+            RunCommand::CallReply { body, .. } => Command::CallReply { id, body },
             RunCommand::SkipCall { cursor } => Command::SkipCall { id, cursor: *cursor },
         })
     }
--- a/crates/hazelgrade-server/src/routing/run_command.rs
+++ b/crates/hazelgrade-server/src/routing/run_command.rs
@@ -3,12 +3,24 @@
 //! Commands have no numbers, and the executor keeps no record of those that it received. After all missed events were
 //! handled on a new link, a command that may be lost leaves its run in one of two states that can't be told apart: the
 //! command was lost, or it was received and the run has got further since, which only the run's next event will show.
-//! A command is sent again only if it is harmless in both states when it arrives.
+//! A command is sent again only if it is harmless in both states when it arrives:
+//!
+//! | command | why it is harmless, or what is done instead |
+//! | --- | --- |
+//! | start of an idempotent job | a second run does no harm |
+//! | start of any other job | not sent again: the run may have ended. The job fails at its deadline if nothing is heard |
+//! | skip of a call | names the event that requested the call, so it applies to no other call |
+//! | reply to a call | not sent again: the run may wait for its next call. If nothing is heard, the call is skipped, or the run is started anew, or the job fails at its deadline |
+//! | any command for which there was no link | it can't have been received |
 
 use crate::protocol::Body;
 use crate::transport::executor::NoLink;
+use hazelgrade::time::Span;
 use std::time::Instant;
 
+/// How long the next event of a run whose call reply may be lost is awaited, as a ratio of the deadline of its class.
+const REPLY_SILENCE_RATIO: f64 = 0.05;
+
 /// A command that lets a run start or continue.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RunCommand {
@@ -16,6 +28,8 @@
     StartRun,
     /// Delivers the reply to the call that the run waits for.
     CallReply {
+        /// Number of the event that requested the call.
+        cursor: u64,
         /// The body of the reply, in base64.
         body: Body,
     },
@@ -58,6 +72,19 @@
     }
 }
 
+/// What may be done to the runs of a job.
+#[derive(Clone, Copy, Debug)]
+pub struct RunRules {
+    /// Whether more than one run of the job does no harm.
+    pub is_idempotent: bool,
+    /// Whether the job may be answered without a call that it requested.
+    pub may_skip_calls: bool,
+    /// Whether cancelling ends a run that waits for a call, so that the job can be started anew.
+    pub is_cancellable: bool,
+    /// How long after its arrival the job must be answered.
+    pub deadline: Span,
+}
+
 /// What is to be done about an unconfirmed command once a new link is up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Recovery {
@@ -65,8 +92,26 @@
     NotNeeded,
     /// The command is sent again.
     SendAgain,
-    /// The command is not sent again: only the next event of the run can show whether it was received.
-    AwaitEvent,
+    /// The command is not sent again: only the next event of the run can show whether it was received. The event is
+    /// awaited for this time, or until the job's deadline if there is no limit.
+    AwaitEvent {
+        /// The longest wait for the event.
+        limit: Option<Span>,
+    },
+}
+
+/// What is to be done if the next event of a run does not come after a command that may be lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilenceResponse {
+    /// The run is told to continue without the call that this event requested.
+    SkipCall {
+        /// Number of the event.
+        cursor: u64,
+    },
+    /// The run is cancelled, so that the job is started anew.
+    Restart,
+    /// The event is awaited until the job's deadline.
+    AwaitDeadline,
 }
 
 /// The last command to a run; the executor has not confirmed yet that it received the command.
@@ -92,21 +137,37 @@
         self.receipt = sent.into();
     }
 
-    /// Decides what to do about the command after a new link was opened and all missed events were handled.
-    /// `may_start_twice` tells whether a second run of the job does no harm.
-    ///
-    /// A second start is harmful to all other jobs: if the run ended after the executor had repeated the missed events,
-    /// the command would start another run. A command that was not sent is always sent again.
-    pub fn recover(&mut self, lost: LossWindow, may_start_twice: bool) -> Recovery {
+    /// Decides what to do about the command after a new link was opened and all missed events were handled. `is_wanted`
+    /// tells whether somebody still waits for the job's answer.
+    pub fn recover(&mut self, lost: LossWindow, rules: RunRules, is_wanted: bool) -> Recovery {
         match self.receipt {
             Receipt::NotSent => return Recovery::SendAgain,
             Receipt::Sent(at) if !lost.contains(at) => return Recovery::NotNeeded,
             Receipt::Sent(_) | Receipt::InDoubt => self.receipt = Receipt::InDoubt,
         }
         match self.command {
-            RunCommand::StartRun if !may_start_twice => Recovery::AwaitEvent,
-            RunCommand::StartRun | RunCommand::CallReply { .. } | RunCommand::SkipCall { .. } => {
-                Recovery::SendAgain
+            RunCommand::StartRun if rules.is_idempotent && is_wanted => Recovery::SendAgain,
+            RunCommand::StartRun => Recovery::AwaitEvent { limit: None },
+            RunCommand::CallReply { .. } => {
+                Recovery::AwaitEvent { limit: Some(rules.deadline * REPLY_SILENCE_RATIO) }
+            }
+            RunCommand::SkipCall { .. } => Recovery::SendAgain,
+        }
+    }
+
+    /// Decides what to do if the run's next event has not come within the time that [`UnconfirmedCommand::recover`] set.
+    /// Neither response harms a run that has received the command and is slow: a skip applies to its own call only, and
+    /// a job that is started anew loses its progress.
+    pub fn respond_to_silence(&self, rules: RunRules, is_wanted: bool) -> SilenceResponse {
+        match self.command {
+            RunCommand::CallReply { cursor, .. } if rules.may_skip_calls => {
+                SilenceResponse::SkipCall { cursor }
+            }
+            RunCommand::CallReply { .. } if rules.is_idempotent && rules.is_cancellable && is_wanted => {
+                SilenceResponse::Restart
+            }
+            RunCommand::CallReply { .. } | RunCommand::StartRun | RunCommand::SkipCall { .. } => {
+                SilenceResponse::AwaitDeadline
             }
         }
     }
--- a/crates/hazelgrade-server/tests/instance/executor_link.rs
+++ b/crates/hazelgrade-server/tests/instance/executor_link.rs
@@ -2,7 +2,10 @@
 //! command may be lost.
 
 use crate::common::*;
-use hazelgrade_server::routing::run_command::{LossWindow, Recovery, RunCommand, UnconfirmedCommand};
+use hazelgrade::time::Span;
+use hazelgrade_server::routing::run_command::{
+    LossWindow, Recovery, RunCommand, RunRules, SilenceResponse, UnconfirmedCommand,
+};
 use hazelgrade_server::transport::executor::{ExecutorLink, NoLink};
 use serde_json::{Value, json};
 use std::net::TcpListener;
@@ -14,6 +17,10 @@
     json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": "good", "lasted": 9, "arg": "b25l"})
 }
 
+fn call_requested(cursor: u64, id: &str) -> Value {
+    json!({"event": "CALLOUT", "cursor": cursor, "handle": id, "arg": "cXVlcnk="})
+}
+
 fn welcome() -> Value {
     json!({"event": "WELCOME", "fate": "old", "lasted": 5})
 }
@@ -148,6 +155,86 @@
     assert_eq!(ExecutorLink::new(free_address()).send("line\n"), Err(NoLink));
 }
 
+/// Lets the run of a job request its first call, and receives the reply to the call on the link. The reply is not
+/// confirmed when this returns.
+fn receive_first_reply(instance: &Instance, link: &mut Peer, id: &str) {
+    link.send(&call_requested(1, id));
+    let mut database_connections = DatabaseConnections::of(&instance.database);
+    let connection = database_connections.call(id);
+    database_connections.reply(connection, &format!("{id} ROWS 1\r\n1\r\n"));
+    assert_eq!(link.command(), json!({"event": "RETURN", "handle": id, "arg": "MQ=="}));
+}
+
+/// Guards against the reply to a run's first call being delivered as the reply to its second call.
+#[test]
+fn a_reply_is_not_sent_again_to_a_run_that_waits_for_its_next_call_behind_the_missed_events() {
+    for idempotency in ["safe", "unsafe"] {
+        let instance = instance_with(idempotency);
+        let (mut link, mut client) = instance.ready();
+        start_run(&mut link, &mut client, 1, "book", "a1");
+        receive_first_reply(&instance, &mut link, "a1");
+        drop(link);
+        let mut link = restored_link(&instance);
+        link.send(&call_requested(2, "a1"));
+        let mut database_connections = DatabaseConnections::of(&instance.database);
+        let connection = database_connections.call("a1");
+        database_connections.reply(connection, "a1 ROWS 1\r\n2\r\n");
+        assert_eq!(
+            link.command(),
+            json!({"event": "RETURN", "handle": "a1", "arg": "Mg=="}),
+            "{idempotency}"
+        );
+        link.send(&run_ended(3, "a1"));
+        assert_eq!(client.receive()["result"]["body"], "b25l");
+    }
+}
+
+/// Guards against a run that waits for ever for a reply that was lost with the link.
+#[test]
+fn after_a_lost_reply_the_run_continues_without_it_or_is_started_anew_or_fails_by_its_deadline() {
+    let lost_reply = |idempotency: &str, weight_without_call: f64| {
+        let instance = Instance::start_with(|configuration| {
+            let settings = &mut configuration["settings"];
+            settings["classes"][1]["idempotency"] = json!(idempotency);
+            (settings["classes"][1]["aim"], settings["classes"][1]["giveUp"]) = (json!(900), json!(1200));
+            settings["specifics"]["classSkipWorth"][1] = json!(weight_without_call);
+        });
+        let (mut link, mut client) = instance.ready();
+        start_run(&mut link, &mut client, 1, "book", "a1");
+        receive_first_reply(&instance, &mut link, "a1");
+        drop(link);
+        let link = restored_link(&instance);
+        (instance, link, client)
+    };
+    for idempotency in ["safe", "keyed", "unsafe"] {
+        let (_instance, mut link, mut client) = lost_reply(idempotency, 0.5);
+        assert_eq!(link.command(), json!({"event": "BYPASS", "handle": "a1", "cursor": 1}), "{idempotency}");
+        link.send(&run_ended(2, "a1"));
+        assert_eq!(client.receive()["result"]["body"], "b25l");
+    }
+    let (_instance, mut link, mut client) = lost_reply("safe", 0.0);
+    assert_eq!(link.command(), json!({"event": "KILL", "handle": "a1"}));
+    link.send(&json!({"event": "EXIT", "cursor": 2, "handle": "a1", "fate": "cut", "lasted": 9, "arg": ""}));
+    assert_eq!(link.command()["event"], "EXEC");
+    link.send(&run_ended(3, "a1"));
+    assert_eq!(client.receive()["result"]["body"], "b25l");
+    for idempotency in ["keyed", "unsafe"] {
+        let (_instance, mut link, mut client) = lost_reply(idempotency, 0.0);
+        let executor = std::thread::spawn(move || link.command());
+        let answer = client.receive();
+        assert!(answer["error"]["code"].as_i64().is_some_and(|code| code != REJECTED), "{answer}");
+        // Nothing was sent to the run: the next command is for another job.
+        client.send(&job(2, "read", "b1"));
+        assert_eq!(executor.join().expect("the executor's thread ends")["handle"], "b1", "{idempotency}");
+    }
+}
+
+/// Returns rules that forbid nothing, with a deadline of 1 s.
+fn permissive_rules() -> RunRules {
+    let deadline = Span::from_ms(1000.0);
+    RunRules { is_idempotent: true, may_skip_calls: true, is_cancellable: true, deadline }
+}
+
 /// Guards against a command that is sent again although it could do harm, and against one that is not sent again
 /// although it certainly was lost.
 #[test]
@@ -158,23 +245,48 @@
     let later = LossWindow { from: now + after, until: now + after * 2 };
     let start = || RunCommand::StartRun;
     let skip = || RunCommand::SkipCall { cursor: 7 };
-    let recover = |command, sent, window, may_start_twice| {
-        UnconfirmedCommand::new(command, sent).recover(window, may_start_twice)
-    };
-    for may_start_twice in [false, true] {
-        for command in [start(), skip()] {
-            assert_eq!(recover(command.clone(), Err(NoLink), lost, may_start_twice), Recovery::SendAgain);
-            assert_eq!(recover(command, Ok(()), later, may_start_twice), Recovery::NotNeeded);
+    let reply = || RunCommand::CallReply { cursor: 7, body: "".into() };
+    let at_most_once = RunRules { is_idempotent: false, ..permissive_rules() };
+    let await_event = |limit_ms: Option<f64>| Recovery::AwaitEvent { limit: limit_ms.map(Span::from_ms) };
+    let recover =
+        |command, sent, window, rules| UnconfirmedCommand::new(command, sent).recover(window, rules, true);
+    for rules in [permissive_rules(), at_most_once] {
+        for command in [start(), reply(), skip()] {
+            assert_eq!(recover(command.clone(), Err(NoLink), lost, rules), Recovery::SendAgain);
+            assert_eq!(recover(command, Ok(()), later, rules), Recovery::NotNeeded);
         }
-        assert_eq!(recover(skip(), Ok(()), lost, may_start_twice), Recovery::SendAgain);
+        assert_eq!(recover(skip(), Ok(()), lost, rules), Recovery::SendAgain);
+        assert_eq!(recover(reply(), Ok(()), lost, rules), await_event(Some(50.0)));
     }
-    assert_eq!(recover(start(), Ok(()), lost, true), Recovery::SendAgain);
-    assert_eq!(recover(start(), Ok(()), lost, false), Recovery::AwaitEvent);
+    assert_eq!(recover(start(), Ok(()), lost, permissive_rules()), Recovery::SendAgain);
+    assert_eq!(recover(start(), Ok(()), lost, at_most_once), await_event(None));
+    // Nobody waits for the answer any more.
+    let mut unwanted = UnconfirmedCommand::new(start(), Ok(()));
+    assert_eq!(unwanted.recover(lost, permissive_rules(), false), await_event(None));
     // A command in doubt stays so when a later link is lost too, and is known to be received once it is sent again on
     // a link that is not lost.
     let mut command = UnconfirmedCommand::new(start(), Ok(()));
-    assert_eq!(command.recover(lost, false), Recovery::AwaitEvent);
-    assert_eq!(command.recover(later, false), Recovery::AwaitEvent);
+    assert_eq!(command.recover(lost, at_most_once, true), await_event(None));
+    assert_eq!(command.recover(later, at_most_once, true), await_event(None));
     command.sent_again(Ok(()));
-    assert_eq!(command.recover(later, false), Recovery::NotNeeded);
+    assert_eq!(command.recover(later, at_most_once, true), Recovery::NotNeeded);
+}
+
+/// Guards against a run that is started anew although its job may not run twice or nobody wants its answer.
+#[test]
+fn a_run_that_stays_silent_after_a_lost_reply_is_treated_by_the_rules_of_its_class() {
+    let respond = |command: RunCommand, rules, is_wanted| {
+        UnconfirmedCommand::new(command, Ok(())).respond_to_silence(rules, is_wanted)
+    };
+    let reply = || RunCommand::CallReply { cursor: 7, body: "".into() };
+    let must_call = RunRules { may_skip_calls: false, ..permissive_rules() };
+    assert_eq!(respond(reply(), permissive_rules(), true), SilenceResponse::SkipCall { cursor: 7 });
+    assert_eq!(respond(reply(), must_call, true), SilenceResponse::Restart);
+    for rules in
+        [RunRules { is_idempotent: false, ..must_call }, RunRules { is_cancellable: false, ..must_call }]
+    {
+        assert_eq!(respond(reply(), rules, true), SilenceResponse::AwaitDeadline);
+    }
+    assert_eq!(respond(reply(), must_call, false), SilenceResponse::AwaitDeadline);
+    assert_eq!(respond(RunCommand::StartRun, permissive_rules(), true), SilenceResponse::AwaitDeadline);
 }
--- a/crates/hazelgrade-settings/src/decode.rs
+++ b/crates/hazelgrade-settings/src/decode.rs
@@ -53,6 +53,7 @@
         readiness_follows_health: specifics.boolean("readiness")?,
         result_sharing: span(specifics, "shareFor", 0.0)?,
         linger: dependency.linger,
+        cancellation: machine.cancellation,
     };
     let controller = Controller::new(
         job_classes.classes,
@@ -96,6 +97,7 @@
             name: section.text("name", "")?.into(),
             idempotency: class.idempotency,
             deadline: class.deadline,
+            may_skip_calls: class.allows_answers_without_call(),
             in_use: true,
         });
         job_classes.classes.push(class);
--- a/crates/hazelgrade-settings/src/host.rs
+++ b/crates/hazelgrade-settings/src/host.rs
@@ -1,6 +1,6 @@
 //! The settings of a host: names, limits and intervals that the controller does not need, or needs in another form.
 
-use hazelgrade::api::{Idempotency, ServiceLimits};
+use hazelgrade::api::{Cancellation, Idempotency, ServiceLimits};
 use hazelgrade::time::Span;
 
 /// The settings of a host. Job classes and tenants are in the order of the controller's slots.
@@ -26,6 +26,8 @@
     pub result_sharing: Span,
     /// How long a call that was given up may stay at the dependency.
     pub linger: Span,
+    /// The effect of cancelling a run.
+    pub cancellation: Cancellation,
 }
 
 /// A job class as a host knows it.
@@ -37,6 +39,8 @@
     pub idempotency: Idempotency,
     /// Its jobs must be answered within this time of their receipt.
     pub deadline: Span,
+    /// Whether its jobs may be answered without a call that they requested.
+    pub may_skip_calls: bool,
     /// Whether jobs may request it; a removed class keeps its slot for the jobs in flight.
     pub in_use: bool,
 }
--- a/crates/hazelgrade/src/api/settings.rs
+++ b/crates/hazelgrade/src/api/settings.rs
@@ -48,6 +48,13 @@
     pub weight_ratio_without_call: f64,
 }
 
+impl JobClass {
+    /// Returns whether a job may be answered without a call that it requested.
+    pub fn allows_answers_without_call(&self) -> bool {
+        self.weight_ratio_without_call > 0.0
+    }
+}
+
 /// A customer on whose behalf jobs run.
 #[derive(Clone, Debug)]
 pub struct Tenant {
--- a/crates/hazelgrade/src/controller/calls.rs
+++ b/crates/hazelgrade/src/controller/calls.rs
@@ -36,7 +36,7 @@
     /// never recover.
     pub(super) fn skip_late_calls(&mut self, now: Time, decisions: &mut dyn Decisions) {
         let queued = self.jobs.select(|tracked| {
-            tracked.stage == Stage::AwaitingCallPermit && tracked.class.weight_ratio_without_call > 0.0
+            tracked.stage == Stage::AwaitingCallPermit && tracked.class.allows_answers_without_call()
         });
         let exempt = if self.call_limiter.is_idle() { 1 } else { 0 };
         let checked = queued.len().saturating_sub(exempt);
@@ -82,7 +82,7 @@
         self.call_limiter.remove_queued(id);
         let has_core_capacity = self.jobs_on_cores_or_calling() < self.max_jobs_on_cores(now);
         let Some(tracked) = self.jobs.get(id) else { return };
-        if tracked.class.weight_ratio_without_call > 0.0 && has_core_capacity {
+        if tracked.class.allows_answers_without_call() && has_core_capacity {
             self.enter(now, id, Stage::Running);
             decisions.skip_call(id);
         } else {
--- a/crates/hazelgrade/src/deadline.rs
+++ b/crates/hazelgrade/src/deadline.rs
@@ -52,7 +52,7 @@
     latency_excess: f64,
     mean_core_time: Span,
 ) -> Time {
-    let excess = if class.weight_ratio_without_call > 0.0 { latency_excess } else { 0.0 };
+    let excess = if class.allows_answers_without_call() { latency_excess } else { 0.0 };
     expires_at - mean_core_time * excess
 }
 
