Judge by its own message whether a call was sent before its connection ended

What callers would see: a call repeated that may have had its effect, also for a job that may not run twice. Not seen in service; found by asking of each command what proves that it may be sent again.

Cause: Connection::classify_end took every call in flight for unsent if as many messages or more waited in the write queue. The cancellation (X) of a call that has ended is a message too, so one call that was sent and one cancellation in the queue gave "nothing was sent". A batch of which the system had taken a part when the write failed counted as unsent as well.

Change: WriteQueue numbers its messages and knows the first of which no byte was handed over; Database::call returns a ticket with the number, and LostConnection::call_end judges each call by its own. Calls that were not sent on a connection that lost others count as never made, no longer as lost. The tests of the pool have a file of their own.

Why it works: a message counts as unsent only if nothing of its batch was given to the system.

--- a/crates/hazelgrade-net/src/write_queue.rs
+++ b/crates/hazelgrade-net/src/write_queue.rs
@@ -7,6 +7,7 @@
 use async_io::Async;
 use futures_lite::io::{AsyncWrite, AsyncWriteExt};
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,6 +18,10 @@
     max_bytes: usize,
     /// Messages that were pushed and not handed to the system yet.
     pending: Cell<usize>,
+    /// Number of the last message that was pushed; the first message has number 1.
+    last_pushed: Cell<u64>,
+    /// Number of the first message of which no byte was handed to the system.
+    first_unsent: Cell<u64>,
     pushed: Notify,
     flushed: Notify,
     overflowed: Cell<bool>,
@@ -33,6 +38,8 @@
             queued: RefCell::default(),
             max_bytes,
             pending: Cell::new(0),
+            last_pushed: Cell::new(0),
+            first_unsent: Cell::new(1),
             pushed: Notify::default(),
             flushed: Notify::default(),
             overflowed: Cell::new(false),
@@ -41,8 +48,11 @@
         }
     }
 
-    /// Queues a message. If it doesn't fit, the connection ends with [`ConnectionEnd::WriteQueueFull`].
-    pub fn push(&self, message: &[u8]) {
+    /// Queues a message and returns its number. If it doesn't fit, the connection ends with
+    /// [`ConnectionEnd::WriteQueueFull`].
+    pub fn push(&self, message: &[u8]) -> u64 {
+        let number = self.last_pushed.get() + 1;
+        self.last_pushed.set(number);
         let mut queued = self.queued.borrow_mut();
         if queued.len() + message.len() > self.max_bytes {
             self.overflowed.set(true);
@@ -51,13 +61,21 @@
             self.pending.set(self.pending.get() + 1);
         }
         self.pushed.notify();
+        number
     }
 
     /// Queues a message that must not be written at `expires_at` or later: if it is still queued then, the connection
-    /// ends with [`ConnectionEnd::Unsent`], and everything queued is lost with it. `None` sets no limit.
-    pub fn push_with_expiry(&self, message: &[u8], expires_at: Option<Instant>) {
+    /// ends with [`ConnectionEnd::Unsent`], and everything queued is lost with it. `None` sets no limit. Returns the
+    /// number of the message.
+    pub fn push_with_expiry(&self, message: &[u8], expires_at: Option<Instant>) -> u64 {
         self.expires_at.set(self.expires_at.get().into_iter().chain(expires_at).min());
-        self.push(message);
+        self.push(message)
+    }
+
+    /// The number of the first message of which no byte was handed to the system. The peer can't have received that
+    /// message or any later one.
+    pub fn first_unsent(&self) -> u64 {
+        self.first_unsent.get()
     }
 
     /// The number of messages that were pushed and not handed to the system yet.
@@ -118,12 +136,22 @@
     async fn write_batch(&self, writer: &mut (impl AsyncWrite + Unpin)) -> Result<(), ConnectionEnd> {
         let bytes = self.queued.take();
         let count = self.pending();
+        let next_number = self.last_pushed.get() + 1;
         self.write_started.set(Some(Instant::now()));
         let written = async {
-            writer.write_all(&bytes).await?;
+            let mut unwritten = &bytes[..];
+            while !unwritten.is_empty() {
+                let count = writer.write(unwritten).await?;
+                if count == 0 {
+                    return Err(io::ErrorKind::WriteZero.into());
+                }
+                // Which messages these bytes belong to is not tracked, so all messages of the batch count as sent.
+                self.first_unsent.set(next_number);
+                unwritten = &unwritten[count..];
+            }
             writer.flush().await
         };
-        written.await.map_err(|error| ConnectionEnd::from_io_error(&error))?;
+        written.await.map_err(|error: io::Error| ConnectionEnd::from_io_error(&error))?;
         self.write_started.set(None);
         self.pending.set(self.pending() - count);
         Ok(())
--- a/crates/hazelgrade-net/tests/connections.rs
+++ b/crates/hazelgrade-net/tests/connections.rs
@@ -9,7 +9,7 @@
 use hazelgrade_net::notify::Notify;
 use hazelgrade_net::write_queue::WriteQueue;
 use std::cell::RefCell;
-use std::io::Result;
+use std::io::{ErrorKind, Result};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -34,6 +34,26 @@
     }
 }
 
+/// Accepts so many bytes, and then resets the connection.
+struct Resetting {
+    accepted_bytes: usize,
+}
+
+impl AsyncWrite for Resetting {
+    fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
+        let count = std::mem::take(&mut self.accepted_bytes).min(bytes.len());
+        Poll::Ready(if count > 0 { Ok(count) } else { Err(ErrorKind::ConnectionReset.into()) })
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
 #[test]
 fn lines_end_by_their_line_feed_or_at_the_bound_or_with_the_input() {
     block_on(async {
@@ -109,3 +129,18 @@
         assert!(written.0.borrow().is_empty());
     }));
 }
+
+/// Guards against taking a message for unsent of which the peer may have received a part or all.
+#[test]
+fn messages_count_as_sent_from_the_first_byte_of_their_batch_on() {
+    let tasks = LocalExecutor::new();
+    block_on(tasks.run(async {
+        for (accepted_bytes, first_unsent) in [(0, 1), (2, 3)] {
+            let queue = Rc::new(WriteQueue::new(100));
+            assert_eq!((queue.push(b"one "), queue.push(b"two ")), (1, 2));
+            let writer = queue.clone().spawn_writer_to(&tasks, Resetting { accepted_bytes });
+            assert_eq!(writer.await, ConnectionEnd::Reset);
+            assert_eq!((queue.push(b"three"), queue.first_unsent()), (3, first_unsent));
+        }
+    }));
+}
--- a/crates/hazelgrade-server/src/routing/dependency_calls.rs
+++ b/crates/hazelgrade-server/src/routing/dependency_calls.rs
@@ -4,7 +4,7 @@
 use super::in_flight::{InFlightTable, JobEvent};
 use super::outcome::CallEnd;
 use crate::protocol::database::{self, ReplyHead};
-use crate::transport::database::{Database, ReplyHandler};
+use crate::transport::database::{CallTicket, Database, LostConnection, ReplyHandler};
 use async_executor::LocalExecutor;
 use hazelgrade::api::JobId;
 use hazelgrade::time::Span;
@@ -18,13 +18,20 @@
 /// The calls of one job that is in flight.
 #[derive(Default)]
 struct JobCalls {
-    /// Connection of the call in flight, if there is one.
-    current: Option<u64>,
+    /// The call in flight, if there is one.
+    current: Option<CallTicket>,
     /// Connections of all calls of the job so far. No two calls of a job use the same connection: a reply names only
     /// the job, so a late or duplicate reply could be taken for the reply to the job's next call.
     used_connections: Vec<u64>,
 }
 
+impl JobCalls {
+    /// Returns whether the call in flight is on this connection.
+    fn is_on(&self, connection: u64) -> bool {
+        self.current.is_some_and(|call| call.connection == connection)
+    }
+}
+
 /// The calls of all jobs that are in flight.
 pub struct DependencyCalls {
     database: Option<Rc<Database>>,
@@ -66,9 +73,9 @@
         let mut jobs = self.jobs.borrow_mut();
         let calls = jobs.entry(id.clone()).or_default();
         let message = database::encode_call(id, timeout, body);
-        let connection = database.call(&self.tasks, self, &message, &calls.used_connections, expires_at);
-        calls.current = Some(connection);
-        calls.used_connections.push(connection);
+        let call = database.call(&self.tasks, self, &message, &calls.used_connections, expires_at);
+        calls.current = Some(call);
+        calls.used_connections.push(call.connection);
     }
 
     /// Cancels the call of a job, if a call is in flight.
@@ -88,7 +95,8 @@
 
     /// Sends the cancellation of a job's call in flight. Returns the connection of the call and the database.
     fn send_cancel(&self, id: &JobId) -> Option<(u64, &Rc<Database>)> {
-        let connection = self.jobs.borrow_mut().get_mut(id).and_then(|calls| calls.current.take())?;
+        let call = self.jobs.borrow_mut().get_mut(id).and_then(|calls| calls.current.take())?;
+        let connection = call.connection;
         let database = self.database.as_ref()?;
         database.send(connection, database::encode_cancel(id).as_bytes());
         Some((connection, database))
@@ -134,7 +142,7 @@
     fn reply(&self, connection: u64, head: ReplyHead, body: Vec<u8>) {
         let ReplyHead { id, reply, .. } = head;
         let mut jobs = self.jobs.borrow_mut();
-        let calls = jobs.get_mut(&id).filter(|calls| calls.current == Some(connection));
+        let calls = jobs.get_mut(&id).filter(|calls| calls.is_on(connection));
         let (Some(calls), Some(database)) = (calls, &self.database) else {
             return self.unknown_replies.set(self.unknown_replies.get() + 1);
         };
@@ -143,13 +151,11 @@
         self.in_flight.send(&id, JobEvent::CallEnded(CallEnd::Replied { reply, body }));
     }
 
-    fn ended(&self, connection: u64, end: ConnectionEnd) {
-        let mut jobs = self.jobs.borrow_mut();
-        let lost = jobs.iter_mut().filter(|(_, calls)| calls.current == Some(connection));
-        for (id, calls) in lost {
-            calls.current = None;
+    fn ended(&self, lost: LostConnection) {
+        for (id, calls) in self.jobs.borrow_mut().iter_mut().filter(|(_, calls)| calls.is_on(lost.number)) {
+            let Some(call) = calls.current.take() else { continue };
             self.lost.set(self.lost.get() + 1);
-            self.in_flight.send(id, JobEvent::CallEnded(CallEnd::ConnectionLost(end)));
+            self.in_flight.send(id, JobEvent::CallEnded(CallEnd::ConnectionLost(lost.call_end(call))));
         }
     }
 }
--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -27,6 +27,40 @@
 /// Maximum time from the first byte of a reply to its last. The database writes each reply in one piece.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// A call that was passed to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallTicket {
+    /// Number of the connection.
+    pub connection: u64,
+    /// Number of the call's message in the write queue of the connection.
+    message: u64,
+}
+
+/// A connection that has ended or could not be opened.
+#[derive(Clone, Copy, Debug)]
+pub struct LostConnection {
+    /// Number of the connection.
+    pub number: u64,
+    /// Why the connection ended.
+    pub end: ConnectionEnd,
+    /// Number of the first message that was not handed to the operating system.
+    first_unsent: u64,
+}
+
+impl LostConnection {
+    /// Returns how a call on the connection ended: [`ConnectionEnd::Unsent`] only if no byte of the call was handed to
+    /// the operating system, because then the call can't have had an effect.
+    pub fn call_end(&self, call: CallTicket) -> ConnectionEnd {
+        match self.end {
+            ConnectionEnd::Unreachable => ConnectionEnd::Unreachable,
+            _ if call.message >= self.first_unsent => ConnectionEnd::Unsent,
+            // Another call on the connection expired unsent.
+            ConnectionEnd::Unsent => ConnectionEnd::Truncated,
+            end => end,
+        }
+    }
+}
+
 /// Decodes and handles replies from the database. Connections are identified by their numbers.
 pub trait ReplyHandler {
     /// The decoded first line of a reply.
@@ -38,7 +72,7 @@
     /// Handles a reply; `body` is empty if the reply has none.
     fn reply(&self, connection: u64, head: Self::Head, body: Vec<u8>);
     /// Called when a connection has ended or could not be opened.
-    fn ended(&self, connection: u64, end: ConnectionEnd);
+    fn ended(&self, lost: LostConnection);
 }
 
 struct Connection {
@@ -95,8 +129,8 @@
         }
     }
 
-    /// Sends a call on a connection other than those in `excluded`, and returns the number of the connection. A call
-    /// that can't be handed to the operating system before `expires_at` is not sent.
+    /// Sends a call on a connection other than those in `excluded`. A call that can't be handed to the operating system
+    /// before `expires_at` is not sent.
     pub fn call<T: ReplyHandler + 'static>(
         self: &Rc<Self>,
         tasks: &Rc<LocalExecutor<'static>>,
@@ -104,15 +138,15 @@
         message: &[u8],
         excluded: &[u64],
         expires_at: Option<Instant>,
-    ) -> u64 {
+    ) -> CallTicket {
         let (number, connection) = match self.select_connection(excluded) {
             Some(selected) => selected,
             None => self.open_connection(tasks, handler),
         };
         connection.last_used.set(Instant::now());
         connection.calls_in_flight.set(connection.calls_in_flight.get() + 1);
-        connection.write_queue.push_with_expiry(message, expires_at);
-        number
+        let message = connection.write_queue.push_with_expiry(message, expires_at);
+        CallTicket { connection: number, message }
     }
 
     /// Returns the connection with the fewest calls in flight and, among equals, the one used most recently; `None` if
@@ -211,7 +245,7 @@
     ) {
         let end = self.serve(&tasks, address, database.idle_timeout, number, &*handler).await;
         database.connections.borrow_mut().remove(&number);
-        handler.ended(number, end);
+        handler.ended(LostConnection { number, end, first_unsent: self.write_queue.first_unsent() });
     }
 
     async fn serve<T: ReplyHandler>(
@@ -236,8 +270,7 @@
             }
         };
         let write = self.write_queue.clone().spawn_writer(tasks, stream.clone());
-        let end = or(or(read, self.wait_until_unneeded(idle_timeout)), write).await;
-        self.classify_end(end)
+        or(or(read, self.wait_until_unneeded(idle_timeout)), write).await
     }
 
     /// Waits until the connection is not needed any more: no call is in flight, and the connection is retired or has
@@ -254,20 +287,6 @@
             }
         }
     }
-
-    /// Returns [`ConnectionEnd::Unsent`] if no call in flight was handed to the operating system, because then no call
-    /// can have had an effect. Other ends are returned as they are.
-    fn classify_end(&self, end: ConnectionEnd) -> ConnectionEnd {
-        let pending = self.write_queue.pending();
-        let sent_none = pending > 0 && pending >= self.calls_in_flight.get();
-        match end {
-            ConnectionEnd::Idle => end,
-            _ if sent_none => ConnectionEnd::Unsent,
-            // Some calls expired unsent, but other calls on the connection had been sent.
-            ConnectionEnd::Unsent => ConnectionEnd::Truncated,
-            _ => end,
-        }
-    }
 }
 
 /// Reads one reply. Waits for the first byte without a time limit, then at most [`REPLY_TIMEOUT`] for the rest.
--- a/crates/hazelgrade-server/tests/instance/input.rs
+++ b/crates/hazelgrade-server/tests/instance/input.rs
@@ -2,14 +2,11 @@
 
 use crate::common::*;
 use hazelgrade::time::{Span, Time};
-use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_server::protocol;
 use hazelgrade_server::routing::clock::Clock;
 use hazelgrade_server::routing::result_cache::ResultCache;
-use hazelgrade_server::transport::database::{Database, ReplyHandler};
 use serde_json::{Value, json};
-use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -239,57 +236,6 @@
     assert_eq!(busy.receive()["result"]["body"], "b25l");
 }
 
-struct Received(RefCell<Vec<String>>);
-
-impl ReplyHandler for Received {
-    type Head = ();
-
-    fn decode_head(&self, _: &[u8]) -> Result<(), ConnectionEnd> {
-        Ok(())
-    }
-
-    fn body_length(&self, (): &()) -> Option<usize> {
-        None
-    }
-
-    fn reply(&self, connection: u64, (): (), _: Vec<u8>) {
-        self.0.borrow_mut().push(format!("reply on {connection}"));
-    }
-
-    fn ended(&self, connection: u64, end: ConnectionEnd) {
-        self.0.borrow_mut().push(format!("{connection}: {end:?}"));
-    }
-}
-
-#[test]
-fn database_connections_are_reused_closed_when_idle_and_report_whether_anything_was_sent() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
-    let address = listener.local_addr().expect("read the local address");
-    let database = Rc::new(Database::new(address, 32, Duration::from_millis(100)));
-    let (received, tasks) =
-        (Rc::new(Received(RefCell::default())), Rc::new(async_executor::LocalExecutor::new()));
-    let pause = |ms| async_io::Timer::after(Duration::from_millis(ms));
-    let scenario = async {
-        let call = |excluded: &[u64]| database.call(&tasks, &received, b"Q\r\n", excluded, None);
-        assert_eq!((call(&[]), call(&[])), (1, 2));
-        pause(30).await;
-        let (mut one, _two) = (Peer::accept(&listener), Peer::accept(&listener));
-        one.write("Q ROWS\r\n");
-        pause(30).await;
-        database.call_ended(1);
-        assert_eq!(call(&[1]), 3);
-        assert_eq!(call(&[]), 1);
-        database.call_ended(1);
-        pause(250).await;
-        assert!(one.receive_line() == "Q\r\n" && one.receive_line() == "Q\r\n" && one.is_closed());
-        database.set_address(free_address());
-        assert_eq!(call(&[]), 4);
-        pause(30).await;
-    };
-    async_io::block_on(tasks.run(scenario));
-    assert_eq!(*received.0.borrow(), ["reply on 1", "1: Idle", "4: Unreachable"]);
-}
-
 #[test]
 fn stored_results_stay_within_their_memory_limit_and_the_earliest_to_expire_is_dropped() {
     let (now, result_cache) = (Time::from_ms(0.0), ResultCache::new(10));
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::expect_used, clippy::panic, clippy::too_many_lines)]
 mod common;
 mod crossings;
+mod database;
 mod executor_link;
 mod fleet;
 mod input;
