--- a/crates/hazelgrade-server/tests/streaming/names.rs
+++ b/crates/hazelgrade-server/tests/streaming/names.rs
@@ -15,13 +15,18 @@
 /// The same class, whose jobs must not be sent again.
 const AT_MOST_ONCE: &str = "goal_ms = 1000\ncut_off_ms = 3000\nrepeats = \"at-most-once\"\n";
 
-/// Returns a document with this class "order" and these tenants.
-fn document_with(order: &str, tenants: &[&str]) -> Document {
-    let tenants = tenants.iter().map(|name| format!("[customer.{name}]\nquota_per_s = 100\n"));
-    let rest = format!("[use_case.order]\n{order}{}", tenants.collect::<String>());
+/// Returns a document with these tenants and without the class "order".
+fn without_order(tenants: &[&str]) -> Document {
+    let rest: String = tenants.iter().map(|name| format!("[customer.{name}]\nquota_per_s = 100\n")).collect();
     documents::document(&[documents::READ], 0, &rest).expect("the document is valid")
 }
 
+/// Returns a document with these tenants and this class "order".
+fn document_with(order: &str, tenants: &[&str]) -> Document {
+    let text = format!("{}[use_case.order]\n{order}", without_order(tenants).to_toml());
+    Document::read(&text, "a document with the class").expect("the document is valid")
+}
+
 /// A caller that sends one job at a time.
 struct Caller {
     connection: BufReader<TcpStream>,
@@ -54,7 +59,7 @@
 #[test]
 fn a_keyed_job_that_has_run_is_answered_with_its_result_after_each_change_of_names_and_kind() {
     let with = |tenants: &[&str]| document_with(KEYED, tenants);
-    let changes: [(&str, &str, Vec<Document>); 6] = [
+    let changes: [(&str, &str, Vec<Document>); 7] = [
         ("tenants go", "north", vec![with(&["east", "north"]), with(&[])]),
         ("tenants come", "north", vec![with(&[]), with(&["east", "north"])]),
         (
@@ -73,6 +78,11 @@
             "north",
             vec![with(&["north"]), document_with(AT_MOST_ONCE, &["north"])],
         ),
+        (
+            "the class goes and returns",
+            "north",
+            vec![with(&["north"]), without_order(&["north"]), with(&["north"])],
+        ),
     ];
     for (change, tenant, versions) in changes {
         let environment = TestEnvironment::new(FAST_WORKLOAD);
