--- a/crates/hazelgrade/src/controller/admission.rs
+++ b/crates/hazelgrade/src/controller/admission.rs
@@ -45,8 +45,9 @@
             self.records.remove_outdated(now);
         }
         // Two jobs that were read in one batch may each name the other as the original. The one that was read first is
-        // admitted.
-        let was_read_before = |prior: &TrackedJob| prior.sequence < tracked.sequence;
+        // admitted: a keyed one has its record before the other one is decided, an at-most-once one has no record.
+        let is_at_most_once = tracked.class.idempotency == Idempotency::AtMostOnce;
+        let was_read_before = |prior: &TrackedJob| is_at_most_once && prior.sequence < tracked.sequence;
         let is_original =
             |prior: &JobId| self.records.contains(prior) || self.jobs.get(prior).is_none_or(was_read_before);
         let is_retry = tracked.job.retry_of.as_ref().is_some_and(is_original);
