Log why a connection ends and why a job is rejected, failed or tried again

Change: one line for each end of a client connection (cause, messages, rejections, violations, what its reader waited for, bytes that were dropped, open jobs), each violation, each rejected or failed job (cause, time unread, time held), each command or call that is tried again, each throttled connection, each pause of the process and change of health. New counter expired_unread. The front end's own answers moved to a module of their own.

--- a/crates/hazelgrade-server/src/program/serve/services.rs
+++ b/crates/hazelgrade-server/src/program/serve/services.rs
@@ -6,6 +6,7 @@
 use crate::routing::controller_driver::ControllerDriver;
 use crate::routing::counters::Counters;
 use crate::routing::dependency_calls::DependencyCalls;
+use crate::routing::event_log::EventLog;
 use crate::routing::executor_events::ExecutorEvents;
 use crate::routing::front_end::FrontEnd;
 use crate::routing::in_flight::InFlightTable;
@@ -87,6 +88,7 @@
             settings: RefCell::new(Rc::new(host_settings)),
             counters: RefCell::new(Counters::default()),
             callers: Callers::default(),
+            event_log: EventLog::default(),
         });
         let front_end = Rc::new(FrontEnd {
             context: context.clone(),
--- a/crates/hazelgrade-server/src/routing/context.rs
+++ b/crates/hazelgrade-server/src/routing/context.rs
@@ -5,10 +5,12 @@
 use super::controller_driver::{ControllerDriver, ControllerEvent};
 use super::counters::Counters;
 use super::dependency_calls::DependencyCalls;
+use super::event_log::{EventLog, UnservedCause};
 use super::in_flight::{InFlightTable, JobEvent};
 use super::result_cache::ResultCache;
 use crate::protocol::executor::{Command, encode};
 use crate::protocol::jsonrpc::{self, Answer};
+use crate::transport::clients::ClientConnection;
 use crate::transport::executor::{ExecutorLink, NoLink};
 use hazelgrade::api::JobId;
 use hazelgrade_settings::HostSettings;
@@ -33,11 +35,15 @@
     pub counters: RefCell<Counters>,
     /// Authenticates callers and decides which jobs they may request.
     pub callers: Callers,
+    /// The log lines about single jobs and connections.
+    pub event_log: EventLog,
 }
 
 impl RequestContext {
     /// Sends the final answer to a job, unless the job was answered before or its caller has disconnected.
-    pub fn answer(&self, id: &JobId, answer: &Answer) {
+    ///
+    /// `cause` tells why a job is rejected or fails.
+    pub fn answer(&self, id: &JobId, answer: &Answer, cause: UnservedCause) {
         let mut counters = self.counters.borrow_mut();
         let Some(responder) = self.in_flight.take_responder(id) else {
             counters.late_answers += 1;
@@ -46,18 +52,30 @@
         tracing::trace!(job = &**id, answer = answer.name(), "job answered");
         match answer {
             Answer::Succeeded(_) => counters.succeeded += 1,
-            Answer::Rejected { .. } => {
+            Answer::Rejected { retry_after, .. } => {
                 counters.rejected += 1;
-                responder.connection.count_rejection();
+                let job = responder.unserved(id);
+                self.event_log.job_rejected(job, cause, retry_after.as_ms());
+                self.count_rejection(&responder.connection);
             }
             Answer::Denied(_) => counters.denied += 1,
-            Answer::Failed => counters.failed += 1,
+            Answer::Failed => {
+                counters.failed += 1;
+                self.event_log.job_failed(responder.unserved(id), cause);
+            }
         }
         let line = jsonrpc::encode(responder.call_id, answer, self.driver.load_signal());
         responder.connection.send(&line);
         responder.connection.close_call(responder.call_id);
     }
 
+    /// Counts a rejection of a job requested on a connection.
+    pub fn count_rejection(&self, connection: &ClientConnection<JobId>) {
+        if connection.count_rejection() {
+            self.event_log.connection_throttled(connection.number);
+        }
+    }
+
     /// Records that the caller of a job no longer waits for the answer. The controller is notified before the job's
     /// task: otherwise the controller could still start the run of a job whose task has ended.
     pub fn caller_disconnected(&self, id: &JobId) {
--- a/crates/hazelgrade-server/src/routing/controller_driver.rs
+++ b/crates/hazelgrade-server/src/routing/controller_driver.rs
@@ -348,6 +348,7 @@
 
     fn publish_health(&mut self, healthy: bool, _from_store: bool) {
         if self.driver.controller_healthy.replace(healthy) != healthy {
+            tracing::info!(healthy, "health changed");
             self.driver.health_changed.notify();
         }
     }
--- a/crates/hazelgrade-server/src/routing/counters.rs
+++ b/crates/hazelgrade-server/src/routing/counters.rs
@@ -9,6 +9,8 @@
     pub succeeded: u64,
     /// Jobs that were rejected without having had an effect.
     pub rejected: u64,
+    /// Jobs counted in `rejected` whose deadline had passed before they were read.
+    pub expired_unread: u64,
     /// Jobs that were answered with an error.
     pub failed: u64,
     /// Jobs whose caller disconnected or aborted before the answer.
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -1,31 +1,31 @@
 //! The front end: decodes the messages of clients, admits jobs and starts their tasks, and detects callers that
 //! disconnect. The front end answers health checks and invalid messages itself.
 
+mod refusals;
+
 use super::callers::Caller;
 use super::context::RequestContext;
 use super::in_flight::{JobFingerprint, Responder};
 use super::job;
 use super::result_cache::{JobKey, JobOwner};
-use crate::protocol::jsonrpc::{self, Answer, ClientMessage, JobRequest, RequestError};
+use crate::protocol::jsonrpc::{self, Answer, ClientMessage, JobRequest};
 use crate::transport::clients::{Accepting, ClientConnection, ClientConnections, EndedConnection};
 use crate::transport::tls::Tls;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use hazelgrade::api::{Idempotency, JobId};
 use hazelgrade::time::{Span, Time};
-use hazelgrade_identity::DenyReason;
 use hazelgrade_identity::authenticator::Credentials;
 use hazelgrade_net::connection_end::ConnectionEnd;
+use refusals::REJECTED;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 /// How far a job's time of receipt may lie in the future by this process's clock, in milliseconds.
 const MAX_CLOCK_SKEW_MS: f64 = 1000.0;
 
-/// The answer to a job that the front end rejects: the job did not run, and other servers may run it at once.
-const REJECTED: Answer = Answer::Rejected { not_elsewhere: false, retry_after: Span::ZERO };
-
 /// Accepts the connections of clients and handles their messages.
 pub struct FrontEnd {
     /// The state that the front end shares with the tasks of jobs.
@@ -54,7 +54,7 @@
         let accepted = match self.tls.accept(stream, self.context.driver.clock.now()).await {
             Ok(accepted) => accepted,
             Err(end) => {
-                return tracing::debug!(?end, "TLS handshake with a client failed");
+                return self.context.event_log.handshake_failed(end);
             }
         };
         let credentials = Credentials { token: None, certificate: accepted.certificate };
@@ -62,13 +62,11 @@
         let on_line = async |connection: &Rc<ClientConnection<JobId>>, line: &[u8]| {
             self.handle_line(connection, &caller, line).await;
         };
-        let EndedConnection { end, open_calls } = self
+        let EndedConnection { end, open_calls, summary } = self
             .connections
             .serve(&self.tasks, accepting, accepted.stream, jsonrpc::MAX_LINE_BYTES, on_line, closing_line)
             .await;
-        if !open_calls.is_empty() {
-            tracing::debug!(?end, jobs = open_calls.len(), "client connection ended with open calls");
-        }
+        self.context.event_log.connection_ended(&summary, end, &open_calls);
         open_calls.iter().for_each(|id| self.context.caller_disconnected(id));
     }
 
@@ -97,7 +95,7 @@
         let now = self.context.driver.clock.now();
         match self.context.callers.authorize(now, caller, &mut request) {
             Ok(()) => self.admit(connection, request),
-            Err(reason) => self.deny(connection, request.call_id, reason),
+            Err(reason) => self.deny(connection, &request, reason),
         }
     }
 
@@ -132,40 +130,6 @@
         connection.send(&jsonrpc::encode_check(call_id, driver.is_healthy(), driver.load_signal()));
     }
 
-    /// Rejects a job whose job class is not served; any other invalid message counts as a violation.
-    fn handle_invalid_message(&self, connection: &ClientConnection<JobId>, error: &RequestError) {
-        match error.call_id.filter(|_| error.not_served) {
-            Some(call_id) => {
-                self.context.counters.borrow_mut().not_served += 1;
-                self.answer(connection, call_id, &REJECTED);
-                connection.count_rejection();
-            }
-            None => self.answer_violation(connection, error),
-        }
-    }
-
-    /// Sends an answer to a call that was not admitted.
-    fn answer(&self, connection: &ClientConnection<JobId>, call_id: u64, answer: &Answer) {
-        connection.send(&jsonrpc::encode(call_id, answer, self.context.driver.load_signal()));
-    }
-
-    /// Denies a call that its caller has no right to make. The job did not run, and no other server would run it.
-    fn deny(&self, connection: &ClientConnection<JobId>, call_id: u64, reason: DenyReason) {
-        let mut counters = self.context.counters.borrow_mut();
-        counters.denied += 1;
-        counters.unverified += u64::from(reason.suggests_wrong_policy());
-        self.answer(connection, call_id, &Answer::Denied(reason.message()));
-        // Denials count as rejections: a connection with many rejections, none of whose jobs has run, is read slowly.
-        connection.count_rejection();
-    }
-
-    /// Answers a message that violates the protocol, and counts the violation.
-    fn answer_violation(&self, connection: &ClientConnection<JobId>, error: &RequestError) {
-        self.invalid_messages.set(self.invalid_messages.get() + 1);
-        connection.send(&jsonrpc::encode_error(error));
-        connection.count_violation();
-    }
-
     /// Checks a job whose caller was authorized, and starts the task of the job.
     fn admit(&self, connection: &Rc<ClientConnection<JobId>>, mut request: JobRequest) {
         let context = &self.context;
@@ -189,18 +153,20 @@
             return;
         }
         let idempotency_key = request.idempotency_key.take().filter(|_| is_keyed);
-        let job = &mut request.job;
         let key = idempotency_key.map(|key| context.result_cache.job_key(owner, &key, &request.body));
-        if self.answer_if_finished(connection, call_id, &id, key.as_ref()) {
+        if self.answer_if_finished(connection, &request, key.as_ref()) {
             return;
         }
         connection.add_call(call_id, id.clone());
+        let job = &mut request.job;
         job.received_at = received_at;
         job.from_known_caller = connection.is_trusted();
         job.retry_of = key.and_then(|key| context.result_cache.arrived(&id, key, received_at, deadline));
         self.take_tokens(&mut request);
         context.counters.borrow_mut().arrived += 1;
-        let responder = Responder { connection: connection.clone(), call_id };
+        let unread = context.driver.clock.now().since(received_at);
+        let responder =
+            Responder { connection: connection.clone(), call_id, read_at: Instant::now(), unread };
         let events = context.in_flight.insert(&request.job, fingerprint, responder);
         self.tasks.spawn(job::run(request, events, context.clone())).detach();
     }
@@ -228,8 +194,7 @@
         // The outcome of the job in flight is not known yet, so a duplicate of that job fails. A different job under
         // the same id does not run and is rejected.
         let answer = if is_same { Answer::Failed } else { REJECTED };
-        self.answer(connection, request.call_id, &answer);
-        connection.count_violation();
+        self.answer_duplicate_id(connection, request, &answer);
         true
     }
 
@@ -239,15 +204,13 @@
     fn answer_if_finished(
         &self,
         connection: &ClientConnection<JobId>,
-        call_id: u64,
-        id: &JobId,
+        request: &JobRequest,
         key: Option<&JobKey>,
     ) -> bool {
-        let Some(finished) = self.context.result_cache.finished(id) else { return false };
+        let Some(finished) = self.context.result_cache.finished(&request.job.id) else { return false };
         let stored = finished.result.map_or(Answer::Failed, Answer::Succeeded);
         let answer = if key == Some(&finished.key) { stored } else { REJECTED };
-        self.answer(connection, call_id, &answer);
-        connection.count_violation();
+        self.answer_duplicate_id(connection, request, &answer);
         true
     }
 
@@ -267,8 +230,7 @@
         if expired_in_pause || (expired && connection.is_trusted()) {
             // The job stayed unread because this process was suspended, which is not the caller's fault: certainly if
             // the job expired in a pause, and most likely if the connection is trusted. The job did not run.
-            self.context.counters.borrow_mut().rejected += 1;
-            self.answer(connection, request.call_id, &REJECTED);
+            self.reject_expired(connection, request, now.since(received_at));
             return false;
         }
         if expired || request.job.received_at > now + Span::from_ms(MAX_CLOCK_SKEW_MS) {
--- a/crates/hazelgrade-server/src/routing/in_flight.rs
+++ b/crates/hazelgrade-server/src/routing/in_flight.rs
@@ -1,6 +1,7 @@
 //! The in-flight table: routes events to the tasks of the jobs in flight, by job id, and tracks which of these jobs
 //! still have to be answered.
 
+use super::event_log::UnservedJob;
 use super::outcome::CallEnd;
 use super::result_cache::JobOwner;
 use super::run_command::LossWindow;
@@ -14,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Capacity of the event queue of a job's task. The task handles events in order and waits for nothing else, so few
 /// events are queued at any time.
@@ -83,6 +85,18 @@
     pub connection: Rc<ClientConnection<JobId>>,
     /// The id of the call on that connection.
     pub call_id: u64,
+    /// When the job was read.
+    pub read_at: Instant,
+    /// How long the job waited before it was read, by its time stamp.
+    pub unread: Span,
+}
+
+impl Responder {
+    /// Describes the job under this id for the log.
+    pub fn unserved<'a>(&self, id: &'a JobId) -> UnservedJob<'a> {
+        let held = self.read_at.elapsed();
+        UnservedJob { id, connection: self.connection.number, unread_ms: self.unread.as_ms(), held }
+    }
 }
 
 /// Tells whether two requests with the same job id request the same job.
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -6,6 +6,7 @@
 use super::budget_share::LeaseExpired;
 use super::context::RequestContext;
 use super::controller_driver::ControllerEvent;
+use super::event_log::{Repeated, UnservedCause};
 use super::in_flight::JobEvent;
 use super::outcome::{self, CallEnd};
 use super::run_command::{LossWindow, Recovery, RunCommand, RunRules, SilenceResponse, UnconfirmedCommand};
@@ -119,6 +120,8 @@
     body: Body,
     /// Set while the call is in flight.
     sent: Option<SentCall>,
+    /// Whether the call was in flight before and ended without a reply for the run.
+    is_repeated: bool,
 }
 
 /// A call in flight.
@@ -216,7 +219,7 @@
         match event {
             JobEvent::StartRun => Phase::Running(self.start_run()),
             JobEvent::Answer(answer) => {
-                self.context.answer(&self.id, &answer);
+                self.context.answer(&self.id, &answer, UnservedCause::Controller);
                 Phase::Finished { result: None }
             }
             JobEvent::AwaitOriginal => {
@@ -247,7 +250,9 @@
             JobEvent::CallEnded(end) => self.call_ended(&mut run, end),
             JobEvent::SkipCall => self.skip_call(&mut run),
             JobEvent::CancelRun => self.cancel_run(&mut run),
-            JobEvent::Answer(answer) => self.context.answer(&self.id, &answer),
+            JobEvent::Answer(answer) => {
+                self.context.answer(&self.id, &answer, UnservedCause::Controller);
+            }
             JobEvent::LinkRestored(lost) => self.recover_commands(&mut run, lost),
             JobEvent::RunEnded { end, elapsed, body } => {
                 self.context.trust_caller(&self.id);
@@ -288,7 +293,7 @@
             Some(body) => (Answer::Succeeded(body), Outcome::Completed),
             None => (Answer::Failed, Outcome::Failed),
         };
-        self.context.answer(&self.id, &answer);
+        self.context.answer(&self.id, &answer, UnservedCause::Original);
         let id = self.id.clone();
         self.context.driver.notify(ControllerEvent::RunEnded { id, outcome, elapsed: Span::ZERO });
         Phase::Finished { result }
@@ -313,7 +318,7 @@
         self.context.trust_caller(&self.id);
         tracing::trace!(job = &*self.id, cursor, "call requested");
         run.confirm_commands();
-        run.call = Some(RequestedCall { cursor, body, sent: None });
+        run.call = Some(RequestedCall { cursor, body, sent: None, is_repeated: false });
         self.context.driver.notify(ControllerEvent::CallRequested { id: self.id.clone() });
     }
 
@@ -321,6 +326,9 @@
     fn start_call(&self, run: &mut Run, timeout: Span) {
         let Some(call) = &mut run.call else { return };
         tracing::trace!(job = &*self.id, timeout_ms = timeout.as_ms(), "call started");
+        if std::mem::replace(&mut call.is_repeated, true) {
+            self.context.event_log.repeated(&self.id, Repeated::Call);
+        }
         let until_deadline = to_duration(timeout) + REPLY_GRACE;
         call.sent = Some(SentCall {
             started_at: self.context.driver.clock.now(),
@@ -385,7 +393,10 @@
         if let Some(mut unconfirmed) = run.unconfirmed.take() {
             match unconfirmed.recover(lost, self.rules, self.is_wanted()) {
                 Recovery::NotNeeded => {}
-                Recovery::SendAgain => unconfirmed.sent_again(self.send(unconfirmed.command())),
+                Recovery::SendAgain => {
+                    self.context.event_log.repeated(&self.id, Repeated::Command);
+                    unconfirmed.sent_again(self.send(unconfirmed.command()));
+                }
                 Recovery::AwaitEvent { limit } => self.await_event(run, limit),
             }
             run.unconfirmed = Some(unconfirmed);
@@ -452,10 +463,10 @@
             return Phase::Queued;
         }
         if outcome == Outcome::Completed {
-            self.context.answer(&self.id, &Answer::Succeeded(body.clone()));
+            self.context.answer(&self.id, &Answer::Succeeded(body.clone()), UnservedCause::Run);
             Phase::Finished { result: Some(body) }
         } else {
-            self.context.answer(&self.id, &Answer::Failed);
+            self.context.answer(&self.id, &Answer::Failed, UnservedCause::Run);
             Phase::Finished { result: None }
         }
     }
--- a/crates/hazelgrade-server/src/routing/liveness.rs
+++ b/crates/hazelgrade-server/src/routing/liveness.rs
@@ -43,6 +43,7 @@
     pub fn record(&self, now: Time) -> Time {
         let previous = self.last_seen.replace(now);
         if now.since(previous) > Span::from_ms(MAX_GAP_MS) {
+            tracing::info!(paused_ms = now.since(previous).as_ms(), "process was paused");
             self.last_pause.set(Pause { from: previous, to: now });
         }
         let pause = self.last_pause.get();
--- a/crates/hazelgrade-server/src/routing/mod.rs
+++ b/crates/hazelgrade-server/src/routing/mod.rs
@@ -11,6 +11,7 @@
 pub mod controller_driver;
 pub mod counters;
 pub mod dependency_calls;
+pub mod event_log;
 pub mod executor_events;
 pub mod front_end;
 pub mod in_flight;
--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -1,5 +1,6 @@
 //! State of one client connection: its open calls, whether its peer is trusted, and what the reader is waiting for.
 
+use super::activity::{Activity, ConnectionSummary};
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::notify::Notify;
 use hazelgrade_net::write_queue::WriteQueue;
@@ -29,6 +30,9 @@
 
 /// A connection from a client. Open calls are identified by their ids; `T` is the value stored for each open call.
 pub struct ClientConnection<T> {
+    /// Number of the connection since the start of the process.
+    pub number: u64,
+    pub(super) activity: Activity,
     pub(super) write_queue: Rc<WriteQueue>,
     open_calls: RefCell<BTreeMap<u64, T>>,
     /// Notified when a call is closed, and when the maximum number of open calls or the number of violations has
@@ -36,9 +40,6 @@
     pub(super) calls_changed: Notify,
     last_used: Cell<Instant>,
     trusted: Cell<bool>,
-    health_checks: Cell<u32>,
-    violations: Cell<u32>,
-    rejections: Cell<u32>,
     /// When the first byte of the message being read arrived; before the first message, when the connection was opened.
     pub(super) message_started: Cell<Option<Instant>>,
     /// Whether the previous check found the message overdue. Two checks in a row are needed for a time-out, so that
@@ -58,16 +59,15 @@
 }
 
 impl<T: Clone + PartialEq> ClientConnection<T> {
-    pub(super) fn new() -> ClientConnection<T> {
+    pub(super) fn new(number: u64) -> ClientConnection<T> {
         ClientConnection {
+            number,
+            activity: Activity::new(),
             write_queue: Rc::new(WriteQueue::new(WRITE_QUEUE_BYTES)),
             open_calls: RefCell::default(),
             calls_changed: Notify::default(),
             last_used: Cell::new(Instant::now()),
             trusted: Cell::new(false),
-            health_checks: Cell::new(0),
-            violations: Cell::new(0),
-            rejections: Cell::new(0),
             message_started: Cell::new(Some(Instant::now())),
             was_overdue: Cell::new(false),
             reader_waits: Cell::new(false),
@@ -124,9 +124,16 @@
     /// violations, because it is then closed instead.
     pub async fn wait_for_free_call(&self) {
         let max_open = || if self.trusted.get() { MAX_OPEN_CALLS } else { MAX_OPEN_CALLS_UNTRUSTED };
+        let started_at = Instant::now();
         while self.open_calls.borrow().len() >= max_open() && !self.has_too_many_violations() {
             self.calls_changed.notified().await;
         }
+        self.activity.record_wait_for_free_call(started_at);
+    }
+
+    /// Returns what happened on the connection so far.
+    pub(super) fn summary(&self) -> ConnectionSummary {
+        self.activity.summary(self.number, self.trusted.get())
     }
 
     /// Marks the connection as trusted, because a job requested on it has run.
@@ -142,38 +149,40 @@
 
     /// Counts a health check requested by the peer.
     pub fn count_health_check(&self) {
-        self.health_checks.set(self.health_checks.get().saturating_add(1));
+        self.activity.health_checks.set(self.activity.health_checks.get().saturating_add(1));
     }
 
     pub(super) fn health_checks(&self) -> u32 {
-        self.health_checks.get()
+        self.activity.health_checks.get()
     }
 
     /// Returns whether the peer repeats health checks, as a load balancer does. A single health check does not count:
     /// such a peer may be as idle as a peer that requested none.
     pub(super) fn is_health_monitor(&self) -> bool {
-        !self.trusted.get() && self.health_checks.get() > 1
+        !self.trusted.get() && self.activity.health_checks.get() > 1
     }
 
-    /// Counts a rejection of a job requested on the connection.
-    pub fn count_rejection(&self) {
-        self.rejections.set(self.rejections.get().saturating_add(1));
+    /// Counts a rejection of a job requested on the connection. Returns whether the connection is throttled from now on.
+    pub fn count_rejection(&self) -> bool {
+        let was_throttled = self.is_throttled();
+        self.activity.rejections.set(self.activity.rejections.get().saturating_add(1));
+        self.is_throttled() && !was_throttled
     }
 
     /// Returns whether the connection is throttled: it is untrusted, and more than [`MAX_UNTHROTTLED_REJECTIONS`] of
     /// its jobs were rejected. A throttled connection is read more slowly.
     pub(super) fn is_throttled(&self) -> bool {
-        !self.trusted.get() && self.rejections.get() > MAX_UNTHROTTLED_REJECTIONS
+        !self.trusted.get() && self.activity.rejections.get() > MAX_UNTHROTTLED_REJECTIONS
     }
 
     /// Counts an invalid message. After more than [`MAX_VIOLATIONS`] the connection is not read any more.
     pub fn count_violation(&self) {
-        self.violations.set(self.violations.get().saturating_add(1));
+        self.activity.violations.set(self.activity.violations.get().saturating_add(1));
         self.calls_changed.notify();
     }
 
     pub(super) fn has_too_many_violations(&self) -> bool {
-        self.violations.get() > MAX_VIOLATIONS
+        self.activity.violations.get() > MAX_VIOLATIONS
     }
 
     /// Returns the time since the last call was opened or the last message was sent.
--- a/crates/hazelgrade-server/src/transport/clients/mod.rs
+++ b/crates/hazelgrade-server/src/transport/clients/mod.rs
@@ -2,10 +2,12 @@
 //! resources that a peer may use are bounded per connection. A connection becomes trusted once a job requested on it
 //! has run. A trusted connection may have more open calls and is evicted last when the limit on connections is reached.
 
+mod activity;
 mod connection;
 mod eviction;
 mod reader;
 mod table;
 
+pub use activity::ConnectionSummary;
 pub use connection::{ClientConnection, MAX_OPEN_CALLS};
 pub use table::{Accepting, ClientConnections, EndedConnection};
--- a/crates/hazelgrade-server/src/transport/clients/reader.rs
+++ b/crates/hazelgrade-server/src/transport/clients/reader.rs
@@ -62,7 +62,9 @@
                 self.write_queue.flushed().await;
             }
             if self.is_throttled() {
+                let paused_at = Instant::now();
                 Timer::after(THROTTLE_PAUSE).await;
+                self.activity.record_throttled(paused_at);
             }
             let message = self.read_message(source, &mut line, max_line_bytes);
             let read = or(message, self.close_requested()).await;
@@ -70,6 +72,7 @@
             if let Err(end) = read {
                 return end;
             }
+            self.activity.messages.set(self.activity.messages.get() + 1);
             self.message_started.set(None);
             self.close_reason.set(None);
             on_line(&line).await;
@@ -112,6 +115,7 @@
             let mut bytes_left = MAX_LINGER_BYTES;
             while matches!(source.fill_buf().await, Ok(bytes) if !bytes.is_empty()) && bytes_left > 0 {
                 let count = source.buffer().len();
+                self.activity.dropped_bytes.set(self.activity.dropped_bytes.get() + count);
                 bytes_left = bytes_left.saturating_sub(count);
                 source.consume(count);
             }
--- a/crates/hazelgrade-server/src/transport/clients/table.rs
+++ b/crates/hazelgrade-server/src/transport/clients/table.rs
@@ -1,5 +1,6 @@
 //! Table of all client connections.
 
+use super::activity::ConnectionSummary;
 use super::connection::ClientConnection;
 use super::eviction::evict_idle;
 use async_executor::LocalExecutor;
@@ -43,6 +44,8 @@
     pub end: ConnectionEnd,
     /// The calls that were still open when the connection ended.
     pub open_calls: Vec<T>,
+    /// What happened on the connection.
+    pub summary: ConnectionSummary,
 }
 
 /// Table of all client connections; `T` identifies an open call.
@@ -139,7 +142,7 @@
         let _ = socket.get_ref().set_nodelay(true);
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        let connection = Rc::new(ClientConnection::new());
+        let connection = Rc::new(ClientConnection::new(number));
         if let Some(greeting) = &*self.greeting.borrow() {
             connection.send(greeting);
         }
@@ -162,6 +165,6 @@
             self.closed_for_violation.set(self.closed_for_violation.get() + 1);
         }
         self.connections.borrow_mut().remove(&number);
-        EndedConnection { end, open_calls: connection.take_open_calls() }
+        EndedConnection { end, open_calls: connection.take_open_calls(), summary: connection.summary() }
     }
 }
--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -74,6 +74,15 @@
     }
 
     pub fn start_with(change: impl FnOnce(&mut Value)) -> Instance {
+        Instance::start_with_options(change, "warn", Stdio::inherit())
+    }
+
+    /// Starts an instance that logs at `level` to `log`.
+    pub fn start_with_log(level: &str, log: Stdio) -> Instance {
+        Instance::start_with_options(|_| {}, level, log)
+    }
+
+    fn start_with_options(change: impl FnOnce(&mut Value), level: &str, log: Stdio) -> Instance {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
         let (executor, database) = (bind(), bind());
         let registry = UdpSocket::bind("127.0.0.1:0").expect("bind to a free port");
@@ -88,13 +97,14 @@
         });
         change(&mut configuration);
         let file = write(&configuration.to_string());
-        let child = Instance::spawn(&file);
+        let child = Instance::spawn(&file, level, log);
         Instance { child, file, listen, executor, registry, database, configuration }
     }
 
-    fn spawn(file: &PathBuf) -> Child {
-        command(&["serve", "--log", "warn"])
+    fn spawn(file: &PathBuf, level: &str, log: Stdio) -> Child {
+        command(&["serve", "--log", level])
             .env("PROXY_CONFIG", file)
+            .stderr(log)
             .spawn()
             .expect("start the hazelgrade process")
     }
@@ -110,7 +120,7 @@
     /// Kills the process and starts another one with the same name and address.
     pub fn start_again(&mut self) {
         self.kill();
-        self.child = Instance::spawn(&self.file);
+        self.child = Instance::spawn(&self.file, "warn", Stdio::inherit());
     }
 
     pub fn kill(&mut self) {
@@ -131,6 +141,21 @@
         self.signal("HUP");
     }
 
+    /// Returns the log of an instance that was started with a piped log, up to the first line that contains `text`.
+    pub fn log_until(&mut self, text: &str) -> String {
+        let reader = BufReader::new(self.child.stderr.take().expect("the log is piped"));
+        let mut log = String::new();
+        for line in reader.lines() {
+            let line = line.expect("the log is text");
+            log.push_str(&line);
+            log.push('\n');
+            if line.contains(text) {
+                return log;
+            }
+        }
+        panic!("the log ended without {text:?}: {log}")
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().expect("run kill").success());
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -8,5 +8,6 @@
 mod executor_link;
 mod fleet;
 mod input;
+mod log;
 mod process;
 mod serving;
