--- /dev/null
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -0,0 +1,121 @@
+//! Clients that keep to the protocol are neither cut off nor answered late because of what this node, or somebody else,
+//! does: however many of their jobs are rejected, and however long the node itself leaves their messages unread.
+
+use crate::common::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Open calls that the protocol allows on a connection.
+const MAX_OPEN: usize = 32;
+/// How long after its deadline a job may be answered: the settings' slack of 60 ms, and 50 ms on sockets.
+const SLACK: Duration = Duration::from_millis(110);
+const REJECTED: i64 = -32066;
+
+/// Sets the deadlines of the classes "read" and "book". Answers after the latency objective, two fifths of the deadline,
+/// have some value, so that jobs stay queued for longer.
+fn start_with_deadlines(read_ms: u64, book_ms: u64) -> Instance {
+    Instance::start_with(|configuration| {
+        for (index, deadline) in [read_ms, book_ms].into_iter().enumerate() {
+            let class = &mut configuration["settings"]["classes"][index];
+            class["giveUp"] = json!(deadline);
+            class["aim"] = json!(deadline * 2 / 5);
+            class["lateWorth"] = json!(0.2);
+        }
+    })
+}
+
+/// Sends `count` jobs with as many open as the protocol allows, and returns the longest time until an answer. All of
+/// them must be rejected.
+fn longest_rejection(client: &mut Peer, count: u64) -> Duration {
+    let mut sent_at = BTreeMap::new();
+    let mut longest = Duration::ZERO;
+    let mut next = 1;
+    while next <= count || !sent_at.is_empty() {
+        if next <= count && sent_at.len() < MAX_OPEN {
+            sent_at.insert(next, Instant::now());
+            client.send(&job(next, "read", &format!("r{next}")));
+            next += 1;
+            continue;
+        }
+        let answer = client.receive();
+        let sent =
+            answer["id"].as_u64().and_then(|call| sent_at.remove(&call)).expect("an answer to an open call");
+        assert_eq!(answer["error"]["code"], REJECTED, "after {:?}: {answer}", sent.elapsed());
+        longest = longest.max(sent.elapsed());
+    }
+    longest
+}
+
+/// Guards against reading a connection so slowly, because its jobs were rejected, that the jobs behind them expire
+/// unread: they were answered late, counted as violations, and the fifth ended the connection (incident 58).
+#[test]
+fn a_client_whose_jobs_are_all_rejected_is_answered_in_time_and_keeps_its_connection() {
+    let instance = start_with_deadlines(700, 700);
+    let (_link, mut client) = instance.ready();
+    let longest = longest_rejection(&mut client, 300);
+    assert!(longest <= Duration::from_millis(700) + SLACK, "answered after {longest:?}");
+    assert_eq!(client.check(900)["result"]["up"], true);
+}
+
+/// Guards against leaving jobs unread behind others that wait for much longer than their own deadline.
+#[test]
+fn jobs_behind_sixteen_open_ones_on_a_new_connection_are_answered_by_their_own_deadline() {
+    let instance = start_with_deadlines(700, 4000);
+    let (_link, mut client) = instance.ready();
+    (1..=16).for_each(|call| client.send(&job(call, "book", &format!("b{call}"))));
+    let sent_at = Instant::now();
+    (17..=32).for_each(|call| client.send(&job(call, "read", &format!("r{call}"))));
+    for _ in 17..=32 {
+        let answer = client.receive();
+        assert!(answer["id"].as_u64() > Some(16) && answer["error"]["code"] == REJECTED, "{answer}");
+    }
+    let longest = sent_at.elapsed();
+    assert!(longest <= Duration::from_millis(700) + SLACK, "answered after {longest:?}");
+}
+
+/// Guards against cutting off a client that writes so slowly that its jobs expire on the way.
+#[test]
+fn jobs_that_expire_while_they_are_being_written_are_rejected_and_count_no_violation() {
+    let instance = start_with_deadlines(100, 4000);
+    let (_link, mut client) = instance.ready();
+    for call in 1..=6 {
+        let line = format!("{}\n", job(call, "read", &format!("r{call}")));
+        let (start, rest) = line.split_at(line.len() / 2);
+        client.write(start);
+        // The time that passes until the rest is written is the fault.
+        std::thread::sleep(Duration::from_millis(200));
+        client.write(rest);
+        let answer = client.receive();
+        assert_eq!((&answer["id"], &answer["error"]["code"]), (&json!(call), &json!(REJECTED)), "{answer}");
+    }
+    assert_eq!(client.check(900)["result"]["up"], true);
+}
+
+/// Guards against cutting off a client whose connection waited to be accepted, because others held all places.
+#[test]
+fn jobs_that_expire_while_their_connection_waits_to_be_accepted_are_rejected_and_count_no_violation() {
+    let instance = Instance::start_with(|configuration| {
+        configuration["limits"]["sockets"] = json!(32);
+        configuration["settings"]["classes"][0]["giveUp"] = json!(300);
+    });
+    let (mut link, first) = instance.ready();
+    let mut others: Vec<Peer> = (1..PLACES).map(|_| instance.client()).collect();
+    others.push(first);
+    for (index, other) in others.iter_mut().enumerate() {
+        other.send(&job(1, "book", &format!("b{index}")));
+    }
+    assert_eq!(link.command()["event"], "EXEC");
+    let mut late = instance.client();
+    let lines: String = (1..=6).map(|call| format!("{}\n", job(call, "read", &format!("r{call}")))).collect();
+    late.write(&lines);
+    // The time that passes until there is a place is the fault.
+    std::thread::sleep(Duration::from_millis(500));
+    drop(others);
+    let codes: Vec<Value> = (1..=6).map(|_| late.receive()["error"]["code"].clone()).collect();
+    assert_eq!(codes, vec![json!(REJECTED); 6]);
+    assert_eq!(late.check(900)["result"]["up"], true);
+}
+
+/// Client connections that a node with 32 descriptors may have open.
+const PLACES: usize = 8;
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -7,6 +7,7 @@
 mod database;
 mod executor_link;
 mod fleet;
+mod honest_clients;
 mod input;
 mod log;
 mod process;
