A job that may have expired while it waited for this node is rejected, and no violation

Cause: on a connection none of whose jobs has run, a job whose deadline had passed when it was read counted as an invalid message (FrontEnd::check_age); the fifth ends the connection. Only pauses of the process were excepted. The node's own throttle, its limit on open calls, a full table of connections or a slow write made jobs of honest clients expire too. Evidence: 'message violates the protocol reason=field ts' five times, 119 messages and 114 rejections before, throttled for 2,356 ms, then 'cause=too many invalid messages', dropped_bytes=10598; no pause. Change: what has not been read was received after the reader last found nothing to read, or after the listener last found nobody to accept. A job that expired since then is rejected: it never ran. Only one that had expired before can have been sent with a wrong time stamp, and counts. An honest client writes no expired job, so none of its messages can count, whatever the delay was. The exception for pauses is covered by this, and is gone.

--- a/crates/hazelgrade-server/src/routing/controller_driver.rs
+++ b/crates/hazelgrade-server/src/routing/controller_driver.rs
@@ -198,12 +198,6 @@
         self.liveness.record(self.clock.now())
     }
 
-    /// Returns whether `at` lies within the last pause of the process, or so shortly after the pause that messages
-    /// received during the pause were still being read.
-    pub fn was_paused_at(&self, at: Time) -> bool {
-        self.liveness.was_paused_at(self.clock.now(), at)
-    }
-
     /// Returns the instant before which every command sent has been received by the executor.
     pub fn commands_confirmed_until(&self) -> Instant {
         self.commands_confirmed_until.get()
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -21,11 +21,15 @@
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// How far a job's time of receipt may lie in the future by this process's clock, in milliseconds.
 const MAX_CLOCK_SKEW_MS: f64 = 1000.0;
 
+/// How much earlier than it was sent a job may appear to have expired: time stamps are whole milliseconds, and the bytes
+/// are on their way for a moment.
+const TIME_STAMP_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// Accepts the connections of clients and handles their messages.
 pub struct FrontEnd {
     /// The state that the front end shares with the tasks of jobs.
@@ -216,6 +220,9 @@
 
     /// Answers a job whose deadline has passed or whose time of receipt lies in the future, and returns `false` for it.
     /// Returns `true` for any other job.
+    ///
+    /// A job that expired while it may have waited for this node to read it did nothing wrong and is rejected. Only a job
+    /// that was sent with a wrong time stamp violates the protocol.
     fn check_age(
         &self,
         connection: &ClientConnection<JobId>,
@@ -226,10 +233,9 @@
         let now = self.context.driver.clock.now();
         let expires_at = received_at + deadline;
         let expired = expires_at < now;
-        let expired_in_pause = expired && self.context.driver.was_paused_at(expires_at);
-        if expired_in_pause || (expired && connection.is_trusted()) {
-            // The job stayed unread because this process was suspended, which is not the caller's fault: certainly if
-            // the job expired in a pause, and most likely if the connection is trusted. The job did not run.
+        let max_unread = connection.max_unread() + TIME_STAMP_TOLERANCE;
+        let expired_unread = now.since(expires_at) <= Span::from_ms(max_unread.as_secs_f64() * 1000.0);
+        if expired && (expired_unread || connection.is_trusted()) {
             self.reject_expired(connection, request, now.since(received_at));
             return false;
         }
--- a/crates/hazelgrade-server/src/routing/front_end/refusals.rs
+++ b/crates/hazelgrade-server/src/routing/front_end/refusals.rs
@@ -62,6 +62,7 @@
         drop(counters);
         self.answer(connection, request.call_id, &REJECTED);
         self.log_rejected(connection, &request.job.id, unread, UnservedCause::ExpiredUnread);
+        self.context.count_rejection(connection);
     }
 
     /// Answers a job whose id is in use, and counts a violation.
--- a/crates/hazelgrade-server/src/routing/liveness.rs
+++ b/crates/hazelgrade-server/src/routing/liveness.rs
@@ -49,12 +49,4 @@
         let pause = self.last_pause.get();
         if now < pause.caught_up_at() { pause.from } else { previous }
     }
-
-    /// Records that the process is running at `now`. Returns whether `at` lies within the last pause, or so shortly
-    /// after that pause that messages received during the pause were still being read.
-    pub fn was_paused_at(&self, now: Time, at: Time) -> bool {
-        self.record(now);
-        let pause = self.last_pause.get();
-        at >= pause.from && at < pause.caught_up_at()
-    }
 }
--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -45,6 +45,8 @@
     /// Whether the previous check found the message overdue. Two checks in a row are needed for a time-out, so that
     /// after a pause of the process the messages that arrived meanwhile are read first.
     was_overdue: Cell<bool>,
+    /// What has not been read yet was received after this instant.
+    unread_since: Cell<Instant>,
     /// Whether the reader is waiting for bytes, which means that every message received so far has been handled.
     pub(super) reader_waits: Cell<bool>,
     /// The reason of a pending request to close the connection once it is idle.
@@ -59,7 +61,7 @@
 }
 
 impl<T: Clone + PartialEq> ClientConnection<T> {
-    pub(super) fn new(number: u64) -> ClientConnection<T> {
+    pub(super) fn new(number: u64, connected_after: Instant) -> ClientConnection<T> {
         ClientConnection {
             number,
             activity: Activity::new(),
@@ -70,6 +72,7 @@
             trusted: Cell::new(false),
             message_started: Cell::new(Some(Instant::now())),
             was_overdue: Cell::new(false),
+            unread_since: Cell::new(connected_after),
             reader_waits: Cell::new(false),
             close_reason: Cell::new(None),
             close_requested: Notify::default(),
@@ -185,6 +188,12 @@
         self.activity.violations.get() > MAX_VIOLATIONS
     }
 
+    /// Returns for how long a message that has just been read may have waited for the reader: since the reader last found
+    /// nothing to read, or since the peer can have connected.
+    pub fn max_unread(&self) -> Duration {
+        self.unread_since.get().elapsed()
+    }
+
     /// Returns the time since the last call was opened or the last message was sent.
     pub(super) fn idle_for(&self) -> Duration {
         self.last_used.get().elapsed()
@@ -221,6 +230,7 @@
     /// Waits until a close is requested and the connection is idle. The reader polls this future only when there is
     /// nothing to read.
     pub(super) async fn close_requested(&self) -> Result<(), ConnectionEnd> {
+        self.unread_since.set(Instant::now());
         self.reader_waits.set(true);
         loop {
             if let Some(reason) = self.close_reason.take()
--- a/crates/hazelgrade-server/src/transport/clients/table.rs
+++ b/crates/hazelgrade-server/src/transport/clients/table.rs
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How often the time limits of the connections are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -23,18 +23,22 @@
 
 /// Guard that counts a connection as accepted but not in the table yet, until the guard is dropped.
 #[must_use = "the connection is counted only until this guard is dropped"]
-pub struct Accepting(Rc<Cell<usize>>);
+pub struct Accepting {
+    count: Rc<Cell<usize>>,
+    /// The peer connected after this instant.
+    connected_after: Instant,
+}
 
 impl Accepting {
-    fn new(count: &Rc<Cell<usize>>) -> Accepting {
+    fn new(count: &Rc<Cell<usize>>, connected_after: Instant) -> Accepting {
         count.set(count.get() + 1);
-        Accepting(count.clone())
+        Accepting { count: count.clone(), connected_after }
     }
 }
 
 impl Drop for Accepting {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        self.count.set(self.count.get().saturating_sub(1));
     }
 }
 
@@ -54,6 +58,8 @@
     last_number: Cell<u64>,
     /// Number of connections that were accepted and are not in the table yet.
     accepting: Rc<Cell<usize>>,
+    /// When the listener last found that no connection was waiting to be accepted.
+    backlog_empty_at: Cell<Instant>,
     /// Maximum number of connections that may be open at once.
     pub max_connections: usize,
     /// The first message to send on each new connection, if any.
@@ -69,6 +75,7 @@
             connections: RefCell::default(),
             last_number: Cell::new(0),
             accepting: Rc::default(),
+            backlog_empty_at: Cell::new(Instant::now()),
             max_connections,
             greeting: RefCell::default(),
             closed_for_violation: Cell::new(0),
@@ -82,7 +89,12 @@
 
     /// Counts a connection that was accepted. The returned guard is kept until the connection is served or has ended.
     pub fn accepted(&self) -> Accepting {
-        Accepting::new(&self.accepting)
+        Accepting::new(&self.accepting, self.backlog_empty_at.get())
+    }
+
+    /// Records that no connection is waiting to be accepted: whoever connects does so from now on.
+    pub fn backlog_is_empty(&self) {
+        self.backlog_empty_at.set(Instant::now());
     }
 
     /// Sends a message to all clients, and to each client that connects later.
@@ -142,7 +154,7 @@
         let _ = socket.get_ref().set_nodelay(true);
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        let connection = Rc::new(ClientConnection::new(number));
+        let connection = Rc::new(ClientConnection::new(number, accepting.connected_after));
         if let Some(greeting) = &*self.greeting.borrow() {
             connection.send(greeting);
         }
--- a/crates/hazelgrade-server/src/transport/listener.rs
+++ b/crates/hazelgrade-server/src/transport/listener.rs
@@ -32,8 +32,8 @@
             connections.evict_idle();
             Timer::after(RETRY_DELAY).await;
         }
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        match accept_next(listener, connections).await {
+            Ok(stream) => {
                 on_stream(stream);
                 // Yields after each accepted connection, so that a burst of connections does not block other tasks.
                 yield_now().await;
@@ -47,6 +47,23 @@
     }
 }
 
+/// Waits for the next connection and accepts it.
+async fn accept_next<T: Clone + PartialEq>(
+    listener: &Async<TcpListener>,
+    connections: &ClientConnections<T>,
+) -> io::Result<Async<TcpStream>> {
+    loop {
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => return Async::new(stream),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                connections.backlog_is_empty();
+                listener.readable().await?;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Accepts the connections in the backlog, up to the limit on connections, without waiting for more. Returns `true`
 /// once the backlog is empty.
 pub fn take_backlog<T: Clone + PartialEq>(
@@ -62,7 +79,11 @@
                     tracing::warn!(%error, "client connection dropped: registering the socket failed")
                 }
             },
-            Err(error) => return error.kind() == io::ErrorKind::WouldBlock,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                connections.backlog_is_empty();
+                return true;
+            }
+            Err(_) => return false,
         }
     }
     false
