Read rejected connections at one shared rate, not at 40 messages a second each

Cause: a connection none of whose jobs has run was read at 40 messages a second after its eighth rejection, aborts included. An honest client of a node that rejects everything sends more than that, and its jobs lie unread for up to 32 x 25 ms. Change: throttled connections share one rate, 5,000 messages a second, in turns; none pauses for longer than the 25 ms that each had before every message. Few are read without delay; with more than 125 that all retry it is as before, so the bound on what hostile clients cost is 5,000 a second or the old one, whichever is higher.

--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -1,6 +1,7 @@
 //! State of one client connection: its open calls, whether its peer is trusted, and what the reader is waiting for.
 
 use super::activity::{Activity, ConnectionSummary};
+use super::throttle::SharedThrottle;
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::notify::Notify;
 use hazelgrade_net::write_queue::WriteQueue;
@@ -33,6 +34,7 @@
     /// Number of the connection since the start of the process.
     pub number: u64,
     pub(super) activity: Activity,
+    pub(super) throttle: Rc<SharedThrottle>,
     pub(super) write_queue: Rc<WriteQueue>,
     open_calls: RefCell<BTreeMap<u64, T>>,
     /// Notified when a call is closed, and when the maximum number of open calls or the number of violations has
@@ -61,10 +63,15 @@
 }
 
 impl<T: Clone + PartialEq> ClientConnection<T> {
-    pub(super) fn new(number: u64, connected_after: Instant) -> ClientConnection<T> {
+    pub(super) fn new(
+        number: u64,
+        connected_after: Instant,
+        throttle: Rc<SharedThrottle>,
+    ) -> ClientConnection<T> {
         ClientConnection {
             number,
             activity: Activity::new(),
+            throttle,
             write_queue: Rc::new(WriteQueue::new(WRITE_QUEUE_BYTES)),
             open_calls: RefCell::default(),
             calls_changed: Notify::default(),
@@ -173,7 +180,7 @@
     }
 
     /// Returns whether the connection is throttled: it is untrusted, and more than [`MAX_UNTHROTTLED_REJECTIONS`] of
-    /// its jobs were rejected. A throttled connection is read more slowly.
+    /// its jobs were rejected. All throttled connections together are read at a limited rate.
     pub(super) fn is_throttled(&self) -> bool {
         !self.trusted.get() && self.activity.rejections.get() > MAX_UNTHROTTLED_REJECTIONS
     }
--- a/crates/hazelgrade-server/src/transport/clients/mod.rs
+++ b/crates/hazelgrade-server/src/transport/clients/mod.rs
@@ -7,7 +7,9 @@
 mod eviction;
 mod reader;
 mod table;
+mod throttle;
 
 pub use activity::ConnectionSummary;
 pub use connection::{ClientConnection, MAX_OPEN_CALLS};
 pub use table::{Accepting, ClientConnections, EndedConnection};
+pub use throttle::SharedThrottle;
--- a/crates/hazelgrade-server/src/transport/clients/reader.rs
+++ b/crates/hazelgrade-server/src/transport/clients/reader.rs
@@ -14,8 +14,6 @@
 /// Maximum number of messages waiting to be written to the peer, not counting the answers to open calls. With more, the
 /// connection is not read until they have been written.
 const MAX_EXTRA_PENDING_MESSAGES: usize = 64;
-/// Pause between two messages of a throttled connection, so that a peer that retries immediately does not delay others.
-const THROTTLE_PAUSE: Duration = Duration::from_millis(25);
 /// How long a connection is still read after its half-close. Closing a socket with unread bytes resets the connection,
 /// and the peer might then lose messages that were sent before the close.
 const LINGER: Duration = Duration::from_millis(300);
@@ -63,7 +61,7 @@
             }
             if self.is_throttled() {
                 let paused_at = Instant::now();
-                Timer::after(THROTTLE_PAUSE).await;
+                self.throttle.wait().await;
                 self.activity.record_throttled(paused_at);
             }
             let message = self.read_message(source, &mut line, max_line_bytes);
--- a/crates/hazelgrade-server/src/transport/clients/table.rs
+++ b/crates/hazelgrade-server/src/transport/clients/table.rs
@@ -3,6 +3,7 @@
 use super::activity::ConnectionSummary;
 use super::connection::ClientConnection;
 use super::eviction::evict_idle;
+use super::throttle::SharedThrottle;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future::or;
@@ -62,6 +63,7 @@
     backlog_empty_at: Cell<Instant>,
     /// Maximum number of connections that may be open at once.
     pub max_connections: usize,
+    throttle: Rc<SharedThrottle>,
     /// The first message to send on each new connection, if any.
     greeting: RefCell<Option<String>>,
     /// Number of connections closed since the start because the peer violated the protocol or exceeded a time limit.
@@ -77,6 +79,7 @@
             accepting: Rc::default(),
             backlog_empty_at: Cell::new(Instant::now()),
             max_connections,
+            throttle: Rc::new(SharedThrottle::new(Instant::now())),
             greeting: RefCell::default(),
             closed_for_violation: Cell::new(0),
         }
@@ -154,7 +157,8 @@
         let _ = socket.get_ref().set_nodelay(true);
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        let connection = Rc::new(ClientConnection::new(number, accepting.connected_after));
+        let connection =
+            Rc::new(ClientConnection::new(number, accepting.connected_after, self.throttle.clone()));
         if let Some(greeting) = &*self.greeting.borrow() {
             connection.send(greeting);
         }
--- a/crates/hazelgrade-server/tests/instance/honest_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -2,8 +2,11 @@
 //! does: however many of their jobs are rejected, and however long the node itself leaves their messages unread.
 
 use crate::common::*;
+use hazelgrade_server::transport::clients::SharedThrottle;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Open calls that the protocol allows on a connection.
@@ -58,6 +61,52 @@
     assert_eq!(client.check(900)["result"]["up"], true);
 }
 
+/// Guards against a bound on rejected clients that makes honest ones pay for hostile ones: 16 connections that retry
+/// immediately, with 32 jobs each, are read at 5,000 jobs a second together, and an honest new client beside them is
+/// answered in time.
+#[test]
+fn clients_that_retry_immediately_are_read_at_a_bounded_rate_and_delay_no_honest_one() {
+    let instance = start_with_deadlines(700, 700);
+    let (_link, mut honest) = instance.ready();
+    let flooding = Arc::new(AtomicBool::new(true));
+    let started_at = Instant::now();
+    let floods: Vec<_> = (0..16)
+        .map(|number| {
+            let (client, flooding) = (instance.client(), flooding.clone());
+            std::thread::spawn(move || flood(client, number, &flooding))
+        })
+        .collect();
+    let longest = longest_rejection(&mut honest, 300);
+    let health = Instant::now();
+    assert_eq!(instance.client().check(1)["result"]["up"], true);
+    assert!(health.elapsed() < Duration::from_millis(500), "{:?}", health.elapsed());
+    flooding.store(false, Ordering::Relaxed);
+    let answers: u64 = floods.into_iter().map(|flood| flood.join().expect("the flood ran")).sum();
+    assert!(longest <= Duration::from_millis(700) + SLACK, "answered after {longest:?}");
+    let limit = 5_000.0 * started_at.elapsed().as_secs_f64() + 16.0 * MAX_OPEN as f64;
+    assert!((answers as f64) < limit, "{answers} answers, at most {limit}");
+    assert!(answers > 500, "{answers} answers are no flood");
+}
+
+/// Sends jobs too large to be queued, and sends each again as soon as it is rejected. Returns the number of answers.
+fn flood(mut client: Peer, number: u64, flooding: &AtomicBool) -> u64 {
+    let mut sent = 0;
+    let mut send = |client: &mut Peer| {
+        sent += 1;
+        let mut job = job(sent, "read", &format!("f{number}-{sent}"));
+        job["params"]["need"] = json!(1999);
+        client.send(&job);
+    };
+    (0..MAX_OPEN).for_each(|_| send(&mut client));
+    let mut answers = 0;
+    while flooding.load(Ordering::Relaxed) {
+        assert_eq!(client.receive()["error"]["code"], REJECTED);
+        answers += 1;
+        send(&mut client);
+    }
+    answers
+}
+
 /// Guards against leaving jobs unread behind others that wait for much longer than their own deadline.
 #[test]
 fn jobs_behind_sixteen_open_ones_on_a_new_connection_are_answered_by_their_own_deadline() {
@@ -119,3 +168,19 @@
 
 /// Client connections that a node with 32 descriptors may have open.
 const PLACES: usize = 8;
+
+/// Guards against a pause for few throttled connections, against a longer one than each alone had before, and against a
+/// debt that outlives the flood.
+#[test]
+fn throttled_connections_share_one_rate_and_none_pauses_for_longer_than_25_ms() {
+    let start = Instant::now();
+    let throttle = SharedThrottle::new(start);
+    let every = |micros: u64| (1..=10_000).map(move |count| start + Duration::from_micros(micros * count));
+    assert!(every(200).all(|now| throttle.reserve(now) == Duration::ZERO));
+    let end = start + Duration::from_secs(2);
+    let max_pause = Duration::from_millis(25);
+    for count in 1..=1000 {
+        assert_eq!(throttle.reserve(end), Duration::from_micros(200 * count).min(max_pause));
+    }
+    assert_eq!(throttle.reserve(end + Duration::from_millis(26)), Duration::ZERO);
+}
