Let a new connection have 32 open jobs, and reject in time what finds no free call

What callers saw: on a connection none of whose jobs had run, nothing behind the sixteenth open job was read until one of the sixteen was answered, up to their deadline; short jobs behind long ones came back late, and on such connections counted as violations. The protocol allows 32 open jobs. The same for whatever lies behind a 33rd job, which a client may send that dropped others without a word. Cause: wait_for_free_call waited without a limit, and the limit on new connections was half of the protocol's. Change: 16 open jobs for each new connection as before, and up to 32 as far as 1,024 for all such connections together go; memory for 8,864 open jobs at 490 connections instead of 7,840. What finds no free call waits until an eighth of its own deadline has passed, and is then rejected: it never ran. Too many violations now end a connection also while its reader waits for bytes, which it does more often with more open jobs.

--- a/crates/hazelgrade-server/src/routing/event_log.rs
+++ b/crates/hazelgrade-server/src/routing/event_log.rs
@@ -57,6 +57,9 @@
     /// The job's deadline passed before the job was read.
     #[error("expired unread")]
     ExpiredUnread,
+    /// The connection had the maximum number of open jobs for too long.
+    #[error("no free call")]
+    NoFreeCall,
     /// This node does not serve the job's class.
     #[error("class not served")]
     NotServed,
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -26,6 +26,9 @@
 /// How far a job's time of receipt may lie in the future by this process's clock, in milliseconds.
 const MAX_CLOCK_SKEW_MS: f64 = 1000.0;
 
+/// How long after its receipt a job may wait until its connection may open another call, as a ratio of the deadline of
+/// its class. Past that it is rejected, so that neither its answer nor those to the messages behind it come late.
+const MAX_FREE_CALL_WAIT_RATIO: f64 = 0.125;
 /// How much earlier than it was sent a job may appear to have expired: time stamps are whole milliseconds, and the bytes
 /// are on their way for a moment.
 const TIME_STAMP_TOLERANCE: Duration = Duration::from_millis(50);
@@ -95,7 +98,9 @@
         caller: &Caller,
         mut request: JobRequest,
     ) {
-        connection.wait_for_free_call().await;
+        if !connection.wait_for_free_call(self.max_wait_for_free_call(&request)).await {
+            return self.reject_without_free_call(connection, &request);
+        }
         let now = self.context.driver.clock.now();
         match self.context.callers.authorize(now, caller, &mut request) {
             Ok(()) => self.admit(connection, request),
@@ -103,6 +108,15 @@
         }
     }
 
+    /// Returns until when a job may stay unread because its connection has the maximum number of open calls.
+    fn max_wait_for_free_call(&self, request: &JobRequest) -> Instant {
+        let clock = &self.context.driver.clock;
+        let deadline = self.context.settings.borrow().job_classes[request.job.job_class].deadline;
+        let age = clock.now().since(clock.to_monotonic(request.job.received_at));
+        let wait_ms = (deadline * MAX_FREE_CALL_WAIT_RATIO).as_ms() - age.as_ms();
+        Instant::now() + Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
+    }
+
     /// Aborts a job: records that its caller no longer waits. A connection can abort only its own calls.
     fn handle_abort(
         &self,
--- a/crates/hazelgrade-server/src/routing/front_end/refusals.rs
+++ b/crates/hazelgrade-server/src/routing/front_end/refusals.rs
@@ -65,6 +65,18 @@
         self.context.count_rejection(connection);
     }
 
+    /// Rejects a job whose connection had the maximum number of open calls for too long.
+    pub(super) fn reject_without_free_call(
+        &self,
+        connection: &ClientConnection<JobId>,
+        request: &JobRequest,
+    ) {
+        self.context.counters.borrow_mut().rejected += 1;
+        self.answer(connection, request.call_id, &REJECTED);
+        self.log_rejected(connection, &request.job.id, Span::ZERO, UnservedCause::NoFreeCall);
+        self.context.count_rejection(connection);
+    }
+
     /// Answers a job whose id is in use, and counts a violation.
     pub(super) fn answer_duplicate_id(
         &self,
--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -1,7 +1,10 @@
 //! State of one client connection: its open calls, whether its peer is trusted, and what the reader is waiting for.
 
 use super::activity::{Activity, ConnectionSummary};
+use super::call_limit::PooledCalls;
 use super::throttle::SharedThrottle;
+use async_io::Timer;
+use futures_lite::future::or;
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::notify::Notify;
 use hazelgrade_net::write_queue::WriteQueue;
@@ -10,11 +13,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Maximum number of open calls on one connection.
-pub const MAX_OPEN_CALLS: usize = 32;
-/// Maximum number of open calls on an untrusted connection. With this maximum, the open calls of all connections fit
-/// into the smallest memory limit.
-const MAX_OPEN_CALLS_UNTRUSTED: usize = 16;
 /// Capacity of the write queue of a connection, in bytes. Holds the answers to all open calls, at 4 KiB in base64 each,
 /// and the answers to some health checks.
 const WRITE_QUEUE_BYTES: usize = 256 * 1024;
@@ -37,6 +35,7 @@
     pub(super) throttle: Rc<SharedThrottle>,
     pub(super) write_queue: Rc<WriteQueue>,
     open_calls: RefCell<BTreeMap<u64, T>>,
+    pooled_calls: PooledCalls,
     /// Notified when a call is closed, and when the maximum number of open calls or the number of violations has
     /// changed.
     pub(super) calls_changed: Notify,
@@ -67,6 +66,7 @@
         number: u64,
         connected_after: Instant,
         throttle: Rc<SharedThrottle>,
+        pooled_calls: PooledCalls,
     ) -> ClientConnection<T> {
         ClientConnection {
             number,
@@ -74,6 +74,7 @@
             throttle,
             write_queue: Rc::new(WriteQueue::new(WRITE_QUEUE_BYTES)),
             open_calls: RefCell::default(),
+            pooled_calls,
             calls_changed: Notify::default(),
             last_used: Cell::new(Instant::now()),
             trusted: Cell::new(false),
@@ -101,7 +102,9 @@
     /// Opens a call; returns `false` if a call with the same id was open already.
     pub fn add_call(&self, call_id: u64, call: T) -> bool {
         self.last_used.set(Instant::now());
-        self.open_calls.borrow_mut().insert(call_id, call).is_none()
+        let is_new = self.open_calls.borrow_mut().insert(call_id, call).is_none();
+        self.record_open_calls();
+        is_new
     }
 
     /// Returns the open call with this id, if there is one.
@@ -122,6 +125,7 @@
     /// Closes the call with this id, if it is open.
     pub fn close_call(&self, call_id: u64) {
         self.open_calls.borrow_mut().remove(&call_id);
+        self.record_open_calls();
         self.calls_changed.notify();
     }
 
@@ -130,15 +134,29 @@
         self.open_calls.take().into_values().collect()
     }
 
-    /// Waits while the connection has the maximum number of open calls. Returns at once if the connection has too many
-    /// violations, because it is then closed instead.
-    pub async fn wait_for_free_call(&self) {
-        let max_open = || if self.trusted.get() { MAX_OPEN_CALLS } else { MAX_OPEN_CALLS_UNTRUSTED };
+    /// Waits until the connection may open another call or has too many violations, but not beyond `until`. Returns
+    /// whether it may open another call.
+    pub async fn wait_for_free_call(&self, until: Instant) -> bool {
         let started_at = Instant::now();
-        while self.open_calls.borrow().len() >= max_open() && !self.has_too_many_violations() {
-            self.calls_changed.notified().await;
-        }
+        let free_call = async {
+            while !self.has_free_call() && !self.has_too_many_violations() {
+                self.calls_changed.notified().await;
+            }
+        };
+        let timeout = async {
+            Timer::at(until).await;
+        };
+        or(free_call, timeout).await;
         self.activity.record_wait_for_free_call(started_at);
+        self.has_free_call()
+    }
+
+    fn has_free_call(&self) -> bool {
+        self.pooled_calls.has_free_call(self.open_calls.borrow().len(), self.trusted.get())
+    }
+
+    fn record_open_calls(&self) {
+        self.pooled_calls.record(self.open_calls.borrow().len(), self.trusted.get());
     }
 
     /// Returns what happened on the connection so far.
@@ -149,6 +167,7 @@
     /// Marks the connection as trusted, because a job requested on it has run.
     pub fn mark_trusted(&self) {
         self.trusted.set(true);
+        self.record_open_calls();
         self.calls_changed.notify();
     }
 
@@ -189,6 +208,7 @@
     pub fn count_violation(&self) {
         self.activity.violations.set(self.activity.violations.get().saturating_add(1));
         self.calls_changed.notify();
+        self.close_requested.notify();
     }
 
     pub(super) fn has_too_many_violations(&self) -> bool {
@@ -234,12 +254,15 @@
         self.close_requested.notify();
     }
 
-    /// Waits until a close is requested and the connection is idle. The reader polls this future only when there is
-    /// nothing to read.
+    /// Waits until a close is requested and the connection is idle, or until there were too many violations. The reader
+    /// polls this future only when there is nothing to read.
     pub(super) async fn close_requested(&self) -> Result<(), ConnectionEnd> {
         self.unread_since.set(Instant::now());
         self.reader_waits.set(true);
         loop {
+            if self.has_too_many_violations() {
+                return Err(ConnectionEnd::ProtocolViolation);
+            }
             if let Some(reason) = self.close_reason.take()
                 && self.is_idle()
             {
--- a/crates/hazelgrade-server/src/transport/clients/mod.rs
+++ b/crates/hazelgrade-server/src/transport/clients/mod.rs
@@ -3,6 +3,7 @@
 //! has run. A trusted connection may have more open calls and is evicted last when the limit on connections is reached.
 
 mod activity;
+mod call_limit;
 mod connection;
 mod eviction;
 mod reader;
@@ -10,6 +11,7 @@
 mod throttle;
 
 pub use activity::ConnectionSummary;
-pub use connection::{ClientConnection, MAX_OPEN_CALLS};
+pub use call_limit::{CallPool, MAX_OPEN_CALLS, PooledCalls};
+pub use connection::ClientConnection;
 pub use table::{Accepting, ClientConnections, EndedConnection};
 pub use throttle::SharedThrottle;
--- a/crates/hazelgrade-server/src/transport/clients/reader.rs
+++ b/crates/hazelgrade-server/src/transport/clients/reader.rs
@@ -1,6 +1,7 @@
 //! Reader of one client connection: reads the client's messages and closes the connection from the instance's side.
 
-use super::connection::{ClientConnection, MAX_OPEN_CALLS};
+use super::call_limit::MAX_OPEN_CALLS;
+use super::connection::ClientConnection;
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
 use futures_lite::io::{AsyncBufReadExt, AsyncRead, BufReader};
--- a/crates/hazelgrade-server/src/transport/clients/table.rs
+++ b/crates/hazelgrade-server/src/transport/clients/table.rs
@@ -1,6 +1,7 @@
 //! Table of all client connections.
 
 use super::activity::ConnectionSummary;
+use super::call_limit::{CallPool, PooledCalls};
 use super::connection::ClientConnection;
 use super::eviction::evict_idle;
 use super::throttle::SharedThrottle;
@@ -64,6 +65,7 @@
     /// Maximum number of connections that may be open at once.
     pub max_connections: usize,
     throttle: Rc<SharedThrottle>,
+    call_pool: Rc<CallPool>,
     /// The first message to send on each new connection, if any.
     greeting: RefCell<Option<String>>,
     /// Number of connections closed since the start because the peer violated the protocol or exceeded a time limit.
@@ -80,6 +82,7 @@
             backlog_empty_at: Cell::new(Instant::now()),
             max_connections,
             throttle: Rc::new(SharedThrottle::new(Instant::now())),
+            call_pool: Rc::default(),
             greeting: RefCell::default(),
             closed_for_violation: Cell::new(0),
         }
@@ -157,8 +160,12 @@
         let _ = socket.get_ref().set_nodelay(true);
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        let connection =
-            Rc::new(ClientConnection::new(number, accepting.connected_after, self.throttle.clone()));
+        let connection = Rc::new(ClientConnection::new(
+            number,
+            accepting.connected_after,
+            self.throttle.clone(),
+            PooledCalls::new(self.call_pool.clone()),
+        ));
         if let Some(greeting) = &*self.greeting.borrow() {
             connection.send(greeting);
         }
--- a/crates/hazelgrade-server/tests/instance/honest_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -2,9 +2,10 @@
 //! does: however many of their jobs are rejected, and however long the node itself leaves their messages unread.
 
 use crate::common::*;
-use hazelgrade_server::transport::clients::SharedThrottle;
+use hazelgrade_server::transport::clients::{CallPool, PooledCalls, SharedThrottle};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -123,6 +124,23 @@
     assert!(longest <= Duration::from_millis(700) + SLACK, "answered after {longest:?}");
 }
 
+/// Guards against answering late what lies behind a job for which its connection has no free call, as when a client
+/// dropped some jobs without a word.
+#[test]
+fn a_33rd_job_and_those_behind_it_are_rejected_in_time() {
+    let instance = start_with_deadlines(700, 4000);
+    let (_link, mut client) = instance.ready();
+    (1..=32).for_each(|call| client.send(&job(call, "book", &format!("b{call}"))));
+    let sent_at = Instant::now();
+    (33..=40).for_each(|call| client.send(&job(call, "read", &format!("r{call}"))));
+    for call in 33..=40 {
+        let answer = client.receive();
+        assert_eq!((&answer["id"], &answer["error"]["code"]), (&json!(call), &json!(REJECTED)), "{answer}");
+    }
+    assert!(sent_at.elapsed() <= Duration::from_millis(700), "answered after {:?}", sent_at.elapsed());
+    assert_eq!(client.check(900)["result"]["up"], true);
+}
+
 /// Guards against cutting off a client that writes so slowly that its jobs expire on the way.
 #[test]
 fn jobs_that_expire_while_they_are_being_written_are_rejected_and_count_no_violation() {
@@ -169,6 +187,30 @@
 /// Client connections that a node with 32 descriptors may have open.
 const PLACES: usize = 8;
 
+/// Guards against open calls of hostile clients that take more memory than 16 on each connection and 1,024 beyond them,
+/// against less than 32 for a new connection while there is room, and against calls that stay counted.
+#[test]
+fn untrusted_connections_share_the_open_calls_beyond_sixteen_each() {
+    let pool = Rc::new(CallPool::default());
+    let connections: Vec<_> = (0..65).map(|_| PooledCalls::new(pool.clone())).collect();
+    for connection in &connections[..64] {
+        for open in 0..32 {
+            assert!(connection.has_free_call(open, false));
+            connection.record(open + 1, false);
+        }
+        assert!(!connection.has_free_call(32, false) && !connection.has_free_call(32, true));
+    }
+    let last = &connections[64];
+    assert!(last.has_free_call(15, false) && !last.has_free_call(16, false) && last.has_free_call(16, true));
+    // One call of another connection ends; then all others end, or count no longer because their connection is trusted.
+    connections[0].record(31, false);
+    assert!(last.has_free_call(16, false));
+    last.record(17, false);
+    assert!(!last.has_free_call(17, false));
+    connections[1].record(32, true);
+    assert!(last.has_free_call(17, false));
+}
+
 /// Guards against a pause for few throttled connections, against a longer one than each alone had before, and against a
 /// debt that outlives the flood.
 #[test]
