A key that this node lacks neither ends a connection nor penalizes an address

What callers saw: a caller whose key the node had not received yet got four 'no key of that id is known' and then lost its connection with all that was open on it; after 32 such tokens from an address, valid tokens of everybody behind it were denied for up to seconds after the key had arrived. Change: unknown keys and keys out of their time are no violation and no bad token. They cost no check of a signature, which is what the limit on bad tokens bounds. A hello that is denied so counts as a rejection, so the connection is read at the shared rate. The flood of tokens with wrong signatures is denied as before.

--- a/crates/hazelgrade-identity/src/authenticator.rs
+++ b/crates/hazelgrade-identity/src/authenticator.rs
@@ -99,7 +99,8 @@
     /// Verifies a token that came from this address, or takes it from the cache if it was verified before.
     ///
     /// # Errors
-    /// Why the token is denied. The source is penalized if it sends too many bad ones.
+    /// Why the token is denied. The source is penalized if it sends too many bad ones, but not if this node may only lack
+    /// their keys.
     pub fn verify_token(
         &mut self,
         now: Time,
@@ -121,7 +122,9 @@
                 Ok(verified)
             }
             Err(reason) => {
-                self.penalty.record_bad_token(now, source);
+                if !reason.suggests_late_key_set() {
+                    self.penalty.record_bad_token(now, source);
+                }
                 Err(reason)
             }
         }
--- a/crates/hazelgrade-identity/src/deny_reason.rs
+++ b/crates/hazelgrade-identity/src/deny_reason.rs
@@ -73,6 +73,12 @@
         )
     }
 
+    /// Whether the token may be valid under a key set that this node has not received yet. Such a denial costs no check
+    /// of a signature, unless a known key signed the token outside its time.
+    pub fn suggests_late_key_set(self) -> bool {
+        matches!(self, DenyReason::UnknownKey | DenyReason::KeyNotValid)
+    }
+
     /// The text for callers and the log; it contains nothing from the token.
     pub fn message(self) -> &'static str {
         match self {
--- a/crates/hazelgrade-identity/src/source_penalty.rs
+++ b/crates/hazelgrade-identity/src/source_penalty.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 
-/// Bad tokens that a source may send at once: after a missed key rotation each caller behind the address sends one.
+/// Bad tokens that a source may send at once.
 const BAD_TOKEN_LIMIT: f64 = 32.0;
 
 /// Time constant with which the count of bad tokens decays, in milliseconds. Together with the limit it allows each
--- a/crates/hazelgrade-identity/tests/authenticator.rs
+++ b/crates/hazelgrade-identity/tests/authenticator.rs
@@ -187,6 +187,25 @@
     assert!(lines.len() <= 3 && lines.iter().map(|line| line.count).sum::<u64>() == 100_000, "{lines:?}");
 }
 
+/// Guards against denying the valid tokens of all callers behind an address because this node received their key late.
+#[test]
+fn tokens_of_a_key_that_arrives_late_are_accepted_as_soon_as_it_is_known() {
+    let (early, late) =
+        (Signer::generate("EdDSA").expect("a key"), Signer::generate("EdDSA").expect("a key"));
+    let token = |count: usize| {
+        late.sign("k2", &Claims { jti: Some(count.to_string()), ..claims("booking") }).expect("signed")
+    };
+    let mut authenticator = Authenticator::new(compiled(&usual_document(&early)), at(NOW_S)).expect("a set");
+    for count in 0..200 {
+        let denied = authenticator.verify_token(at(NOW_S), &token(count), HERE).err();
+        assert_eq!(denied, Some(DenyReason::UnknownKey));
+    }
+    let late_key = key("k2", &late, NOW_S - 1.0, NOW_S + 1000.0, NOW_S + 2000.0, "");
+    let with_late_key = format!("{}{late_key}", usual_document(&early));
+    authenticator.replace_policy(compiled(&with_late_key), at(NOW_S)).expect("a set");
+    assert!(authenticator.verify_token(at(NOW_S), &token(200), HERE).is_ok());
+}
+
 #[test]
 fn the_token_cache_is_bounded_and_keeps_what_is_used() {
     let signer = Signer::generate("EdDSA").expect("a key");
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -134,8 +134,8 @@
     fn handle_hello(&self, connection: &ClientConnection<JobId>, caller: &Caller, call_id: u64, token: &str) {
         let now = self.context.driver.clock.now();
         let authenticated = self.context.callers.authenticate(now, caller, token);
-        if authenticated.is_err() {
-            connection.count_violation();
+        if let Err(reason) = authenticated {
+            self.record_failed_hello(connection, call_id, reason);
         }
         let name = authenticated.as_deref().map_err(|reason| reason.message());
         connection.send(&jsonrpc::encode_hello(call_id, name));
--- a/crates/hazelgrade-server/src/routing/front_end/refusals.rs
+++ b/crates/hazelgrade-server/src/routing/front_end/refusals.rs
@@ -49,6 +49,21 @@
         self.context.count_rejection(connection);
     }
 
+    /// Counts a `hello` that did not identify the caller: as a violation, unless this node may only lack the caller's key,
+    /// and then as a rejection.
+    pub(super) fn record_failed_hello(
+        &self,
+        connection: &ClientConnection<JobId>,
+        call_id: u64,
+        reason: DenyReason,
+    ) {
+        if reason.suggests_late_key_set() {
+            return self.context.count_rejection(connection);
+        }
+        self.context.event_log.violation(connection.number, Some(call_id), &reason);
+        connection.count_violation();
+    }
+
     /// Rejects a job whose deadline passed before the job was read.
     pub(super) fn reject_expired(
         &self,
--- a/crates/hazelgrade-server/tests/identity/main.rs
+++ b/crates/hazelgrade-server/tests/identity/main.rs
@@ -211,6 +211,32 @@
     assert!(succeeded(&connection.job(902, "read", Some("c0"), None)));
 }
 
+/// Guards against cutting off callers, and denying their valid tokens for seconds, because this node received their key
+/// late: tokens of an unknown key counted as violations, and as bad tokens of everybody behind the same address.
+#[test]
+fn callers_whose_key_arrives_late_keep_their_connection_and_are_served_once_it_is_there() {
+    let setup = TestSetup::new();
+    let known_document = setup.documents.join("known.toml");
+    std::fs::copy(setup.identity_document(), &known_document).expect("file operation");
+    keys(&["rotate", "--lead", "0", "--overlap", "60"], &setup.identity_document(), &setup.private);
+    let token = setup.token("front", "30");
+    let node = setup.node(&format!("[identity]\ndocument = {known_document:?}\n"));
+    let mut connection = Connection::connect(&node);
+    for _ in 0..40 {
+        assert_eq!(connection.hello(&token)["error"]["message"], "no key of that id is known");
+    }
+    std::fs::rename(setup.identity_document(), &known_document).expect("file operation");
+    assert!(node.signal("HUP"));
+    let mut answers = Vec::new();
+    assert!(wait_until(WAIT_TIMEOUT, || {
+        answers.push(connection.hello(&token));
+        answers.last().is_some_and(|answer| answer["result"]["caller"] == "front")
+    }));
+    let unknown_key = |answer: &Value| answer["error"]["message"] == "no key of that id is known";
+    assert!(answers[..answers.len() - 1].iter().all(unknown_key), "{:?}", answers.last());
+    assert!(succeeded(&connection.job(2, "read", None, None)));
+}
+
 #[test]
 fn a_token_that_expires_on_an_open_connection_lets_its_job_end_and_no_other_begin() {
     let setup = TestSetup::new();
