What the executor refuses ends no connection on which a job has run

What callers saw: a client of long standing whose connection ended after the fifth of its jobs that the executor refused (BAD), whenever that was; what it had written meanwhile was lost. Evidence: the test, which failed before this change: no command to the executor after the fifth refusal. Change: on a connection on which a job has run such a refusal counts nothing. Hostile clients don't get there: no job of theirs runs. On new connections it counts as before.

--- a/crates/hazelgrade-server/src/routing/context.rs
+++ b/crates/hazelgrade-server/src/routing/context.rs
@@ -94,7 +94,8 @@
         }
     }
 
-    /// Counts a job that is unknown to the executor. The job also counts as a protocol violation of its caller.
+    /// Counts a job that is unknown to the executor. The job also counts as a protocol violation of its caller, unless the
+    /// executor has run jobs of the same connection: then the fault is more likely the executor's.
     pub fn count_unknown_to_executor(&self, id: &JobId) {
         let mut counters = self.counters.borrow_mut();
         counters.unknown_to_executor += 1;
@@ -104,7 +105,9 @@
                 "executor refused to start a run: unknown job"
             );
         }
-        if let Some(connection) = self.in_flight.caller(id) {
+        let caller = self.in_flight.caller(id).filter(|connection| !connection.is_trusted());
+        if let Some(connection) = caller {
+            self.event_log.violation(connection.number, None, &UnservedCause::UnknownToExecutor);
             connection.count_violation();
         }
     }
--- a/crates/hazelgrade-server/src/routing/event_log.rs
+++ b/crates/hazelgrade-server/src/routing/event_log.rs
@@ -66,6 +66,9 @@
     /// The caller has no right to the job.
     #[error("denied")]
     Denied,
+    /// The executor does not know the job.
+    #[error("unknown to the executor")]
+    UnknownToExecutor,
     /// A job with the same id is in flight or was finished before.
     #[error("job id in use")]
     DuplicateId,
--- a/crates/hazelgrade-server/tests/instance/honest_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -187,6 +187,30 @@
 /// Client connections that a node with 32 descriptors may have open.
 const PLACES: usize = 8;
 
+/// Guards against cutting off a client whose jobs run, because the executor refused some of its jobs since: what is open
+/// on the connection, or on its way, would be lost through a fault of the executor.
+#[test]
+fn jobs_that_the_executor_refuses_do_not_end_a_connection_on_which_a_job_has_run() {
+    let instance = start_with_deadlines(4000, 4000);
+    let (mut link, mut client) = instance.ready();
+    let run_ended = |cursor: u64, id: &str| json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": "good", "lasted": 9, "arg": "b25l"});
+    client.send(&job(1, "read", "a1"));
+    assert_eq!(link.command()["handle"], "a1");
+    link.send(&run_ended(1, "a1"));
+    assert!(client.receive()["result"].is_object());
+    for call in 2..=8 {
+        let id = format!("a{call}");
+        client.send(&job(call, "read", &id));
+        assert_eq!(link.command()["handle"], id);
+        link.send(&json!({"event": "BAD", "fate": "EXEC", "handle": id}));
+        assert_eq!(client.receive()["error"]["code"], -32000);
+    }
+    client.send(&job(9, "read", "a9"));
+    assert_eq!(link.command()["handle"], "a9");
+    link.send(&run_ended(2, "a9"));
+    assert_eq!(client.receive()["result"]["body"], "b25l");
+}
+
 /// Guards against open calls of hostile clients that take more memory than 16 on each connection and 1,024 beyond them,
 /// against less than 32 for a new connection while there is room, and against calls that stay counted.
 #[test]
