After a pause over the end of a drain, answer first and look at the clock then

Cause: Drain::write_last_answers ended by the clock before the controller had a round after the pause. Evidence: the test, which failed before this change: the connection ends without an answer. Change: past the stop time the drain looks 100 more times, 5 ms apart, whether all is answered; only then it leaves. Looks are counted and not time, so that another pause takes none of it. Without a pause the platform's SIGKILL comes first, and leaving with requests unanswered was never better than that.

--- a/crates/hazelgrade-server/src/program/drain.rs
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -20,6 +20,10 @@
 /// Once every answer is written, the process exits this long before the platform would kill it, even if connections are
 /// still open.
 const EXITS_BEFORE_STOP: Duration = Duration::from_millis(20);
+/// How many more times the drain checks after the stop time whether every answer is written. Past the stop time the
+/// process only runs if it was paused, and the platform does not count pauses. Polls are counted instead of time, so that
+/// after a pause what can be answered is answered first.
+const MAX_POLLS_AFTER_STOP: u32 = 100;
 /// How often the drain checks whether clients have left and answers are written.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -144,9 +148,15 @@
     /// time. Idle connections are closed properly, so that no bytes in transit are lost when the process exits.
     async fn write_last_answers(&self) {
         let clients = &self.front_end.connections;
+        let mut polls_left = MAX_POLLS_AFTER_STOP;
         while clients.count() > 0 || !self.is_settled() {
-            let reserve = if self.is_settled() { EXITS_BEFORE_STOP } else { Duration::ZERO };
-            if self.elapsed() >= self.stop.saturating_sub(reserve) {
+            if self.is_settled() && self.elapsed() >= self.stop.saturating_sub(EXITS_BEFORE_STOP) {
+                break;
+            }
+            if self.elapsed() >= self.stop {
+                polls_left -= 1;
+            }
+            if polls_left == 0 {
                 break;
             }
             Timer::after(POLL_INTERVAL).await;
--- a/crates/hazelgrade-server/tests/instance/honest_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -211,6 +211,32 @@
     assert_eq!(client.receive()["result"]["body"], "b25l");
 }
 
+/// Guards against leaving jobs unanswered because the process stood still over the end of its drain: it looked at the
+/// clock before the controller could answer them.
+#[test]
+fn a_pause_over_the_end_of_a_drain_leaves_no_job_unanswered() {
+    let mut instance = Instance::start_with(|configuration| {
+        configuration["settings"]["guarantees"]["drainGrace"] = json!(1000);
+    });
+    let (_link, mut client) = instance.ready();
+    (1..=8).for_each(|call| client.send(&job(call, "read", &format!("r{call}"))));
+    assert_eq!(client.check(90)["result"]["up"], true);
+    instance.signal("TERM");
+    // The last answers are due 200 ms before the stop, which is 1.5 s after the signal. The pause spans both.
+    std::thread::sleep(Duration::from_millis(1200));
+    instance.signal("STOP");
+    std::thread::sleep(Duration::from_millis(500));
+    instance.signal("CONT");
+    let mut answered = BTreeMap::new();
+    while answered.len() < 8 {
+        let message = client.receive();
+        if let Some(call) = message["id"].as_u64() {
+            answered.insert(call, message["error"]["code"].clone());
+        }
+    }
+    assert_eq!(instance.exit_code(), Some(0));
+}
+
 /// Guards against open calls of hostile clients that take more memory than 16 on each connection and 1,024 beyond them,
 /// against less than 32 for a new connection while there is room, and against calls that stay counted.
 #[test]
