Measure all spans by the monotonic clock; read the Unix clock for the age of stamps alone

Cause: Clock followed the Unix clock forward and hid only steps back, so deadlines, windows, waits and graces jumped by a step. Change: the clock of the process is the monotonic one. A stamp that can't be true is answered as before, but counts as a rejection and not as a violation: it ends no connection. Tokens, keys and certificates are valid by the Unix clock as it is now; rates and limits beside them go by the monotonic one (Authenticator::set_unix_offset_ms). Tests: the test that asked for a clock that follows the Unix clock forward asked for the fault. In its place four, as strict on steps back and on stamps, and stricter on steps forward; one for tokens.

--- a/crates/hazelgrade-fakes/src/lib.rs
+++ b/crates/hazelgrade-fakes/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod registry;
 /// Checks of the rules on what callers and the executor saw.
 pub mod rule_check;
+/// Faults in the system calls of a process.
+pub mod system_faults;
 /// Everything around a node but its control service.
 pub mod test_environment;
 
--- a/crates/hazelgrade-identity/src/authenticator.rs
+++ b/crates/hazelgrade-identity/src/authenticator.rs
@@ -48,10 +48,12 @@
     audit: AuditLog,
     rates: CallerRates,
     signatures_checked: u64,
+    /// How far the Unix clock is ahead of the clock of `now`, in milliseconds.
+    unix_offset_ms: f64,
 }
 
 impl Authenticator {
-    /// An authenticator under this policy.
+    /// An authenticator under this policy, for a clock that shows Unix time now.
     ///
     /// # Errors
     /// No key of the policy is valid now.
@@ -66,15 +68,27 @@
             audit: AuditLog::default(),
             rates: CallerRates::new(MAX_TRACKED_CALLERS),
             signatures_checked: 0,
+            unix_offset_ms: 0.0,
         })
     }
 
+    /// Sets how far the Unix clock is ahead of the clock by which this authenticator is told the time, in milliseconds;
+    /// negative if it is behind. What is signed is valid by the Unix clock, rates and limits go by the other one, so that
+    /// a step of the Unix clock neither lifts nor prolongs them.
+    pub fn set_unix_offset_ms(&mut self, unix_offset_ms: f64) {
+        self.unix_offset_ms = unix_offset_ms;
+    }
+
+    fn unix(&self, now: Time) -> Time {
+        Time::from_ms(now.as_ms() + self.unix_offset_ms)
+    }
+
     /// Puts another policy into effect.
     ///
     /// # Errors
     /// No key of the policy is valid now; the policy before stays in effect.
     pub fn replace_policy(&mut self, policy: AccessPolicy, now: Time) -> Result<(), NoValidKey> {
-        if !policy.has_valid_key(now) {
+        if !policy.has_valid_key(self.unix(now)) {
             return Err(NoValidKey);
         }
         self.policy = policy;
@@ -115,7 +129,7 @@
             return Err(DenyReason::SourcePenalized);
         }
         self.signatures_checked += 1;
-        match verify(&self.policy, token, now) {
+        match verify(&self.policy, token, self.unix(now)) {
             Ok(verified) => {
                 let verified = Rc::new(verified);
                 self.cache.insert(digest, verified.clone());
@@ -133,13 +147,13 @@
     /// The caller that the credentials identify, if they are valid now.
     fn authenticate(&self, now: Time, credentials: &Credentials) -> Result<CallerId, DenyReason> {
         if let Some(token) = &credentials.token {
-            return valid_caller(&self.policy, token, now);
+            return valid_caller(&self.policy, token, self.unix(now));
         }
         let certificate = credentials.certificate.as_ref().ok_or(DenyReason::NoCredentials)?;
         if self.policy.is_certificate_revoked(&certificate.serial) {
             return Err(DenyReason::Revoked);
         }
-        if certificate.expires_at.is_some_and(|expires_at| expires_at <= now) {
+        if certificate.expires_at.is_some_and(|expires_at| expires_at <= self.unix(now)) {
             return Err(DenyReason::Expired);
         }
         let names = certificate.names.iter().map(String::as_str);
--- a/crates/hazelgrade-identity/tests/authenticator.rs
+++ b/crates/hazelgrade-identity/tests/authenticator.rs
@@ -187,6 +187,33 @@
     assert!(lines.len() <= 3 && lines.iter().map(|line| line.count).sum::<u64>() == 100_000, "{lines:?}");
 }
 
+/// Guards against rates and limits that a step of the Unix clock lifts or prolongs, and against tokens that are judged by
+/// the clock before the step.
+#[test]
+fn after_a_step_of_the_unix_clock_validity_follows_it_and_limits_do_not() {
+    let signer = Signer::generate("EdDSA").expect("a key");
+    let mut authenticator = Authenticator::new(compiled(&usual_document(&signer)), at(NOW_S)).expect("a set");
+    let token = |count: usize| {
+        signer.sign("k1", &Claims { jti: Some(count.to_string()), ..claims("booking") }).expect("signed")
+    };
+    for count in 0..100 {
+        let _ = authenticator.verify_token(at(NOW_S), &format!("{}{count}", token(0)), HERE);
+    }
+    let penalized = Some(DenyReason::SourcePenalized);
+    for step_s in [500.0, -500.0] {
+        authenticator.set_unix_offset_ms(step_s * 1000.0);
+        assert_eq!(authenticator.verify_token(at(NOW_S), &token(1), HERE).err(), penalized);
+    }
+    // The token is issued at NOW_S and expires 300 s later; the documents allow clocks that are off by 90 s.
+    authenticator.set_unix_offset_ms(500_000.0);
+    let later = at(NOW_S + 20.0);
+    assert_eq!(authenticator.verify_token(later, &token(2), HERE).err(), Some(DenyReason::Expired));
+    authenticator.set_unix_offset_ms(-500_000.0);
+    assert_eq!(authenticator.verify_token(later, &token(3), HERE).err(), Some(DenyReason::NotYetValid));
+    authenticator.set_unix_offset_ms(-60_000.0);
+    assert!(authenticator.verify_token(later, &token(4), HERE).is_ok());
+}
+
 /// Guards against denying the valid tokens of all callers behind an address because this node received their key late.
 #[test]
 fn tokens_of_a_key_that_arrives_late_are_accepted_as_soon_as_it_is_known() {
--- a/crates/hazelgrade-server/src/program/identity.rs
+++ b/crates/hazelgrade-server/src/program/identity.rs
@@ -28,10 +28,9 @@
 /// trial, and all revocations of that later version stay in effect.
 fn apply(document: &Document, context: &RequestContext, is_rollback: bool) -> Result<(), String> {
     let policy = AccessPolicy::from_document(document).map_err(|error| error.to_string())?;
-    let now = context.driver.clock.now();
     context
         .callers
-        .replace(policy, &context.settings.borrow(), now, is_rollback)
+        .replace(policy, &context.settings.borrow(), &context.driver.clock, is_rollback)
         .map_err(|error| error.to_string())
 }
 
--- a/crates/hazelgrade-server/src/routing/callers.rs
+++ b/crates/hazelgrade-server/src/routing/callers.rs
@@ -1,5 +1,6 @@
 //! Authenticates callers and decides whether a caller may make a request.
 
+use super::clock::Clock;
 use crate::protocol::jsonrpc::JobRequest;
 use hazelgrade::time::Time;
 use hazelgrade_identity::policy::NoValidKey;
@@ -45,17 +46,25 @@
         &self,
         mut policy: AccessPolicy,
         settings: &HostSettings,
-        now: Time,
+        clock: &Clock,
         is_rollback: bool,
     ) -> Result<(), NoValidKey> {
         let indexes = NameIndexes::new(settings);
         policy.compile(&indexes.job_classes, &indexes.tenants);
+        let now = clock.now();
         let mut authenticator = self.authenticator.borrow_mut();
         match &mut *authenticator {
-            Some(authenticator) if is_rollback => authenticator.roll_back_policy(policy, now),
-            Some(authenticator) => authenticator.replace_policy(policy, now),
+            Some(authenticator) => {
+                authenticator.set_unix_offset_ms(clock.unix_offset_ms());
+                if is_rollback {
+                    authenticator.roll_back_policy(policy, now)
+                } else {
+                    authenticator.replace_policy(policy, now)
+                }
+            }
             None => {
-                *authenticator = Some(Authenticator::new(policy, now)?);
+                let unix_now = Time::from_ms(now.as_ms() + clock.unix_offset_ms());
+                *authenticator = Some(Authenticator::new(policy, unix_now)?);
                 Ok(())
             }
         }
@@ -80,9 +89,11 @@
     }
 
     /// Authenticates the caller of a connection by a token, and returns the caller's name.
-    pub fn authenticate(&self, now: Time, caller: &Caller, token: &str) -> Result<String, DenyReason> {
+    pub fn authenticate(&self, clock: &Clock, caller: &Caller, token: &str) -> Result<String, DenyReason> {
+        let now = clock.now();
         let mut authenticator = self.authenticator.borrow_mut();
         let authenticator = authenticator.as_mut().ok_or(DenyReason::UnknownKey)?;
+        authenticator.set_unix_offset_ms(clock.unix_offset_ms());
         match authenticator.verify_token(now, token, caller.address) {
             Ok(verified) => {
                 let name = verified.caller.clone();
@@ -99,12 +110,19 @@
     /// Decides whether a caller may request a job. Sets the job's tenant if the request does not name one, and records
     /// in the job whether the caller is over its rate limit. A token in the request takes precedence over the
     /// connection's credentials.
-    pub fn authorize(&self, now: Time, caller: &Caller, request: &mut JobRequest) -> Result<(), DenyReason> {
+    pub fn authorize(
+        &self,
+        clock: &Clock,
+        caller: &Caller,
+        request: &mut JobRequest,
+    ) -> Result<(), DenyReason> {
         if !self.enabled.get() {
             return Ok(());
         }
         let mut authenticator = self.authenticator.borrow_mut();
         let authenticator = authenticator.as_mut().ok_or(DenyReason::UnknownKey)?;
+        authenticator.set_unix_offset_ms(clock.unix_offset_ms());
+        let now = clock.now();
         let tenant = request.tenant_name.as_ref().map(|_| request.job.tenant);
         let token = request
             .token
--- a/crates/hazelgrade-server/src/routing/controller_driver.rs
+++ b/crates/hazelgrade-server/src/routing/controller_driver.rs
@@ -195,6 +195,7 @@
     /// Records that the process is running now. Returns when the process was last seen running; shortly after a pause
     /// of the process, returns when that pause began.
     pub fn record_liveness(&self) -> Time {
+        self.clock.observe();
         self.liveness.record(self.clock.now())
     }
 
--- a/crates/hazelgrade-server/src/routing/event_log.rs
+++ b/crates/hazelgrade-server/src/routing/event_log.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Logs a message that violated the protocol.
+    /// Logs a message that is not valid.
     pub fn violation(&self, connection: u64, call_id: Option<u64>, reason: &dyn fmt::Display) {
         if let Some(left_out) = self.violations.permit(Instant::now()) {
             tracing::info!(connection, call_id, %reason, left_out, "message violates the protocol");
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -23,9 +23,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How far a job's time of receipt may lie in the future by this process's clock, in milliseconds.
-const MAX_CLOCK_SKEW_MS: f64 = 1000.0;
-
 /// How long after its receipt a job may wait until its connection may open another call, as a ratio of the deadline of
 /// its class. Past that it is rejected, so that neither its answer nor those to the messages behind it come late.
 const MAX_FREE_CALL_WAIT_RATIO: f64 = 0.125;
@@ -98,21 +95,21 @@
         caller: &Caller,
         mut request: JobRequest,
     ) {
-        if !connection.wait_for_free_call(self.max_wait_for_free_call(&request)).await {
+        if !connection.wait_for_free_call(self.free_call_deadline(&request)).await {
             return self.reject_without_free_call(connection, &request);
         }
-        let now = self.context.driver.clock.now();
-        match self.context.callers.authorize(now, caller, &mut request) {
+        match self.context.callers.authorize(&self.context.driver.clock, caller, &mut request) {
             Ok(()) => self.admit(connection, request),
             Err(reason) => self.deny(connection, &request, reason),
         }
     }
 
     /// Returns until when a job may stay unread because its connection has the maximum number of open calls.
-    fn max_wait_for_free_call(&self, request: &JobRequest) -> Instant {
+    fn free_call_deadline(&self, request: &JobRequest) -> Instant {
         let clock = &self.context.driver.clock;
         let deadline = self.context.settings.borrow().job_classes[request.job.job_class].deadline;
-        let age = clock.now().since(clock.to_monotonic(request.job.received_at));
+        let now = clock.now();
+        let age = now.since(clock.time_of_stamp(request.job.received_at).unwrap_or(now));
         let wait_ms = (deadline * MAX_FREE_CALL_WAIT_RATIO).as_ms() - age.as_ms();
         Instant::now() + Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0)
     }
@@ -132,8 +129,7 @@
 
     /// Authenticates the caller of a connection, and answers with the caller's name or the reason of the denial.
     fn handle_hello(&self, connection: &ClientConnection<JobId>, caller: &Caller, call_id: u64, token: &str) {
-        let now = self.context.driver.clock.now();
-        let authenticated = self.context.callers.authenticate(now, caller, token);
+        let authenticated = self.context.callers.authenticate(&self.context.driver.clock, caller, token);
         if let Err(reason) = authenticated {
             self.record_failed_hello(connection, call_id, reason);
         }
@@ -161,7 +157,9 @@
         if self.answer_if_in_flight(connection, &request, &fingerprint) {
             return;
         }
-        let received_at = context.driver.clock.to_monotonic(request.job.received_at);
+        let Some(received_at) = context.driver.clock.time_of_stamp(request.job.received_at) else {
+            return self.answer_invalid_time(connection, &request);
+        };
         let (deadline, is_keyed) = {
             let settings = context.settings.borrow();
             let job_class = &settings.job_classes[request.job.job_class];
@@ -232,11 +230,10 @@
         true
     }
 
-    /// Answers a job whose deadline has passed or whose time of receipt lies in the future, and returns `false` for it.
-    /// Returns `true` for any other job.
+    /// Answers a job whose deadline has passed, and returns `false` for it. Returns `true` for any other job.
     ///
-    /// A job that expired while it may have waited for this node to read it did nothing wrong and is rejected. Only a job
-    /// that was sent with a wrong time stamp violates the protocol.
+    /// A job that expired while it may have waited for this node to read it is rejected. Any other one was sent with a
+    /// wrong time stamp.
     fn check_age(
         &self,
         connection: &ClientConnection<JobId>,
@@ -249,15 +246,15 @@
         let expired = expires_at < now;
         let max_unread = connection.max_unread() + TIME_STAMP_TOLERANCE;
         let expired_unread = now.since(expires_at) <= Span::from_ms(max_unread.as_secs_f64() * 1000.0);
-        if expired && (expired_unread || connection.is_trusted()) {
-            self.reject_expired(connection, request, now.since(received_at));
-            return false;
+        if !expired {
+            return true;
         }
-        if expired || request.job.received_at > now + Span::from_ms(MAX_CLOCK_SKEW_MS) {
-            self.answer_violation(connection, &jsonrpc::invalid_time(request.call_id));
-            return false;
+        if expired_unread || connection.is_trusted() {
+            self.reject_expired(connection, request, now.since(received_at));
+        } else {
+            self.answer_invalid_time(connection, request);
         }
-        true
+        false
     }
 
     /// Takes a job's tokens from this node's share of the budgets, if budgets are enabled. Records the retry-after in
--- a/crates/hazelgrade-server/src/routing/front_end/refusals.rs
+++ b/crates/hazelgrade-server/src/routing/front_end/refusals.rs
@@ -80,6 +80,16 @@
         self.context.count_rejection(connection);
     }
 
+    /// Answers a job whose time stamp can't be true. It counts as a rejection and not as a violation: the clocks of this
+    /// machine may have been stepped between the stamp and now.
+    pub(super) fn answer_invalid_time(&self, connection: &ClientConnection<JobId>, request: &JobRequest) {
+        self.invalid_messages.set(self.invalid_messages.get() + 1);
+        let error = jsonrpc::invalid_time(request.call_id);
+        connection.send(&jsonrpc::encode_error(&error));
+        self.context.event_log.violation(connection.number, error.call_id, &error.reason);
+        self.context.count_rejection(connection);
+    }
+
     /// Rejects a job whose connection had the maximum number of open calls for too long.
     pub(super) fn reject_without_free_call(
         &self,
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -2,6 +2,7 @@
 //! events that happen at the same moment.
 
 #![allow(clippy::expect_used, clippy::panic, clippy::too_many_lines)]
+mod clock;
 mod common;
 mod crossings;
 mod database;
