An interrupted read or write is made again and ends no connection

Cause: EINTR went through the reader as an error, and every error but an early end of file is a reset. Change: SharedSocket, through which all connections now read and write, makes an interrupted call again at once, up to 64 times, then in a later poll.

--- a/crates/hazelgrade-net/src/stream.rs
+++ b/crates/hazelgrade-net/src/stream.rs
@@ -2,7 +2,7 @@
 
 use async_io::Async;
 use futures_lite::io::{AsyncRead, AsyncWrite};
-use std::io::Result;
+use std::io::{ErrorKind, Result};
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -30,19 +30,38 @@
     }
 }
 
-/// A socket with several owners, each of which may read and write.
+/// Number of interruptions after which a call is made again only in a later poll, so that other tasks may run.
+const MAX_INTERRUPTIONS: usize = 64;
+
+/// Repeats a poll that was interrupted by a signal. That is no failure of the connection, and it says nothing about
+/// whether there is something to read: whoever polls may take "pending" for "nothing was received".
+fn poll_uninterrupted(
+    context: &mut Context<'_>,
+    mut poll: impl FnMut(&mut Context<'_>) -> Poll<Result<usize>>,
+) -> Poll<Result<usize>> {
+    for _ in 0..MAX_INTERRUPTIONS {
+        match poll(context) {
+            Poll::Ready(Err(error)) if error.kind() == ErrorKind::Interrupted => {}
+            polled => return polled,
+        }
+    }
+    context.waker().wake_by_ref();
+    Poll::Pending
+}
+
+/// A socket with several owners, each of which may read and write. An interrupted call is made again.
 #[derive(Clone)]
 pub struct SharedSocket(pub Rc<Async<TcpStream>>);
 
 impl AsyncRead for SharedSocket {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut [u8]) -> Poll<Result<usize>> {
-        Pin::new(&mut &*self.0).poll_read(context, buffer)
+        poll_uninterrupted(context, |context| Pin::new(&mut &*self.0).poll_read(context, buffer))
     }
 }
 
 impl AsyncWrite for SharedSocket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write(context, bytes)
+        poll_uninterrupted(context, |context| Pin::new(&mut &*self.0).poll_write(context, bytes))
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/hazelgrade-server/src/transport/database.rs
+++ b/crates/hazelgrade-server/src/transport/database.rs
@@ -9,6 +9,7 @@
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::lines::{read_body, read_line};
 use hazelgrade_net::notify::Notify;
+use hazelgrade_net::stream::SharedSocket;
 use hazelgrade_net::write_queue::WriteQueue;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -261,7 +262,7 @@
             Err(_) => return ConnectionEnd::Unreachable,
         };
         let read = async {
-            let mut source = BufReader::new(&*stream);
+            let mut source = BufReader::new(SharedSocket(stream.clone()));
             loop {
                 match read_reply(&mut source, handler).await {
                     Ok((head, body)) => handler.reply(number, head, body),
--- a/crates/hazelgrade-server/src/transport/executor.rs
+++ b/crates/hazelgrade-server/src/transport/executor.rs
@@ -8,6 +8,7 @@
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::lines::read_line;
 use hazelgrade_net::notify::Notify;
+use hazelgrade_net::stream::SharedSocket;
 use hazelgrade_net::write_queue::WriteQueue;
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpStream};
@@ -131,7 +132,7 @@
         write_queue.push(handler.first_line().as_bytes());
         *self.write_queue.borrow_mut() = Some(write_queue.clone());
         let has_received = Cell::new(false);
-        let read = self.read_lines(&stream, max_line_bytes, handler, &has_received);
+        let read = self.read_lines(stream.clone(), max_line_bytes, handler, &has_received);
         let moved = self.finish_on_address_change(address, &write_queue, handler);
         let silent = self.detect_silence(&has_received);
         let write = write_queue.clone().spawn_writer(tasks, stream.clone());
@@ -140,12 +141,12 @@
 
     async fn read_lines(
         &self,
-        stream: &Async<TcpStream>,
+        stream: Rc<Async<TcpStream>>,
         max_line_bytes: usize,
         handler: &impl LinkHandler,
         has_received: &Cell<bool>,
     ) -> ConnectionEnd {
-        let mut source = BufReader::new(stream);
+        let mut source = BufReader::new(SharedSocket(stream));
         let mut line = Vec::new();
         loop {
             if let Err(end) = read_line(&mut source, &mut line, max_line_bytes).await {
--- a/crates/hazelgrade-stream/src/client/connection.rs
+++ b/crates/hazelgrade-stream/src/client/connection.rs
@@ -5,13 +5,14 @@
 use crate::protocol::{MAX_LINE_BYTES, MAX_SUBSCRIBER_LINE_BYTES, PublisherMessage};
 use async_channel::{SendError, Sender};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
 use hazelgrade_net::connect::connect;
 use hazelgrade_net::connection_end::ConnectionEnd;
+use hazelgrade_net::stream::SharedSocket;
 use hazelgrade_net::write_queue::WriteQueue;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -54,7 +55,7 @@
             if notifier.notify(ConnectionEvent::Opened(write_queue)).await.is_err() {
                 return;
             }
-            or(read(&stream, &notifier), writer).await
+            or(read(SharedSocket(stream), &notifier), writer).await
         }
         Err(_) => ConnectionEnd::Unreachable,
     };
@@ -63,7 +64,7 @@
 }
 
 /// Reads messages and passes them to the client; returns how the connection ended.
-async fn read(stream: &Async<TcpStream>, notifier: &Notifier) -> ConnectionEnd {
+async fn read(stream: SharedSocket, notifier: &Notifier) -> ConnectionEnd {
     let mut reader = BufReader::new(stream);
     let mut line = Vec::new();
     loop {
--- a/crates/hazelgrade-stream/src/control_service/connections.rs
+++ b/crates/hazelgrade-stream/src/control_service/connections.rs
@@ -10,6 +10,7 @@
 use futures_lite::io::BufReader;
 use hazelgrade_config::Kind;
 use hazelgrade_net::connection_end::ConnectionEnd;
+use hazelgrade_net::stream::SharedSocket;
 use hazelgrade_net::write_queue::WriteQueue;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -54,7 +55,7 @@
         let writer = write_queue.clone().spawn_writer(&self.executor, stream.clone());
         let service = self.clone();
         let reader = self.executor.spawn(async move {
-            let end = service.read(connection, &stream).await;
+            let end = service.read(connection, SharedSocket(stream)).await;
             tracing::debug!(connection, ?end, "connection of a subscriber ended");
             service.on_connection_ended(connection);
         });
@@ -63,7 +64,7 @@
     }
 
     /// Reads and handles messages; returns how the connection ended.
-    async fn read(&self, connection: ConnectionId, stream: &Async<TcpStream>) -> ConnectionEnd {
+    async fn read(&self, connection: ConnectionId, stream: SharedSocket) -> ConnectionEnd {
         let mut reader = BufReader::new(stream);
         let mut line = Vec::new();
         loop {
--- a/crates/hazelgrade-stream/src/lessor_service/sites.rs
+++ b/crates/hazelgrade-stream/src/lessor_service/sites.rs
@@ -6,7 +6,7 @@
 use crate::protocol::{MAX_LINE_BYTES, PublisherMessage, SubscriberMessage};
 use crate::publisher::ConnectionId;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future::or;
 use futures_lite::io::BufReader;
 use hazelgrade::time::Time;
@@ -14,8 +14,9 @@
 use hazelgrade_budget::protocol::SiteReport;
 use hazelgrade_net::connect::connect;
 use hazelgrade_net::connection_end::ConnectionEnd;
+use hazelgrade_net::stream::SharedSocket;
 use hazelgrade_net::write_queue::WriteQueue;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -107,7 +108,7 @@
                     let write_queue = Rc::new(WriteQueue::new(WRITE_QUEUE_BYTES));
                     let writer = write_queue.clone().spawn_writer(&executor, stream.clone());
                     self.site_connections.borrow_mut().insert(site.clone(), write_queue);
-                    let end = or(self.read_site(&stream, &mut send), writer).await;
+                    let end = or(self.read_site(SharedSocket(stream), &mut send), writer).await;
                     self.site_connections.borrow_mut().remove(&site);
                     end
                 }
@@ -121,7 +122,7 @@
     /// Reads and handles messages from another site's control service; returns how the connection ended.
     async fn read_site(
         &self,
-        stream: &Async<TcpStream>,
+        stream: SharedSocket,
         send: &mut impl FnMut(ConnectionId, &PublisherMessage),
     ) -> ConnectionEnd {
         let mut reader = BufReader::new(stream);
--- a/crates/hazelgrade-stream/src/line_reader.rs
+++ b/crates/hazelgrade-stream/src/line_reader.rs
@@ -1,11 +1,11 @@
 //! Reads lines from a connection with limits on their length and on the time that they take to arrive.
 
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future::or;
 use futures_lite::io::{AsyncBufReadExt, BufReader};
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::lines::read_line;
-use std::net::TcpStream;
+use hazelgrade_net::stream::SharedSocket;
 use std::time::Duration;
 
 /// Reads the next line into `line`. The line may be at most `max_bytes` long and must be complete within `timeout` of
@@ -15,7 +15,7 @@
 ///
 /// Returns how the connection ended, or that the line is too long or was not complete in time.
 pub(crate) async fn read_bounded_line(
-    reader: &mut BufReader<&Async<TcpStream>>,
+    reader: &mut BufReader<SharedSocket>,
     line: &mut Vec<u8>,
     max_bytes: usize,
     timeout: Duration,
