An error of reading signals is no request to shut down

What callers saw: an instance that nobody had told to stop drains, rejects everything and leaves; the control service likewise. Cause: signals::handle took every item that was not SIGHUP for a request to shut down, also the error of an interrupted read of its pipe (EINTR). The control service ended with any item. Change: only a signal counts. After an error the pipe is read again 5 ms later; a signal that is in it is still there.

--- a/crates/hazelgrade-server/src/program/command/control.rs
+++ b/crates/hazelgrade-server/src/program/command/control.rs
@@ -73,7 +73,8 @@
     let serving = control_service::serve(tasks.clone(), config, log_granted_units());
     let serving = async { serving.await.map_err(|error| error.to_string()) };
     let until_signal = async {
-        signals.next().await;
+        // An error says nothing about a signal.
+        while !matches!(signals.next().await, Some(Ok(_)) | None) {}
         Ok(())
     };
     async_io::block_on(tasks.run(or(serving, until_signal)))
--- a/crates/hazelgrade-server/src/program/serve/signals.rs
+++ b/crates/hazelgrade-server/src/program/serve/signals.rs
@@ -5,6 +5,7 @@
 use crate::program::{identity, tls};
 use crate::routing::controller_driver::ControllerDriver;
 use crate::routing::front_end::FrontEnd;
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use hazelgrade::time::Time;
@@ -14,6 +15,10 @@
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause before signals are read again after an error.
+const RETRY_DELAY: Duration = Duration::from_millis(5);
 
 /// Starts to catch signals. Must be called before any operation that may block, because an uncaught signal would end
 /// the process.
@@ -99,7 +104,12 @@
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => reloader.reload(),
-            _ => shutdown.request(driver),
+            Ok(_) => shutdown.request(driver),
+            // Nothing is known about the signal, and it is not lost: the next read of the pipe reports it.
+            Err(error) => {
+                tracing::debug!(%error, "reading a signal failed; trying again");
+                Timer::after(RETRY_DELAY).await;
+            }
         }
     }
     std::future::pending().await
