--- a/crates/hazelgrade-server/src/program/drain.rs
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -136,7 +136,7 @@
 
     async fn take_backlog(&self, listener: &Async<TcpListener>) {
         let clients = &self.front_end.connections;
-        while !take_backlog(listener, clients, |stream| self.front_end.start(stream))
+        while !take_backlog(listener, clients, |accepted| self.front_end.start(accepted))
             && self.elapsed() < self.stop
         {
             clients.evict_idle();
--- a/crates/hazelgrade-server/src/program/serve.rs
+++ b/crates/hazelgrade-server/src/program/serve.rs
@@ -237,7 +237,7 @@
         let listener = listener.clone();
         let front_end = self.services.front_end.clone();
         let accept = async move {
-            listener::accept(&listener, &front_end.connections, |stream| front_end.start(stream)).await
+            listener::accept(&listener, &front_end.connections, |accepted| front_end.start(accepted)).await
         };
         self.services.tasks.spawn(accept)
     }
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -10,16 +10,15 @@
 use super::result_cache::{JobKey, JobOwner};
 use crate::protocol::jsonrpc::{self, Answer, ClientMessage, JobRequest};
 use crate::transport::clients::{Accepting, ClientConnection, ClientConnections, EndedConnection};
+use crate::transport::listener::AcceptedConnection;
 use crate::transport::tls::Tls;
 use async_executor::LocalExecutor;
-use async_io::Async;
 use hazelgrade::api::{Idempotency, JobId};
 use hazelgrade::time::{Span, Time};
 use hazelgrade_identity::authenticator::Credentials;
 use hazelgrade_net::connection_end::ConnectionEnd;
 use refusals::REJECTED;
 use std::cell::{Cell, RefCell};
-use std::net::{IpAddr, Ipv4Addr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -46,15 +45,14 @@
 
 impl FrontEnd {
     /// Starts the task that serves an accepted connection.
-    pub fn start(self: &Rc<Self>, stream: Async<TcpStream>) {
+    pub fn start(self: &Rc<Self>, accepted: AcceptedConnection) {
         let accepting = self.connections.accepted();
-        self.tasks.spawn(self.clone().serve(accepting, stream)).detach();
+        self.tasks.spawn(self.clone().serve(accepting, accepted)).detach();
     }
 
     /// Serves a connection until it ends, and then records that the callers of its open calls have disconnected.
-    async fn serve(self: Rc<Self>, accepting: Accepting, stream: Async<TcpStream>) {
-        let unspecified_address = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
-        let address = stream.get_ref().peer_addr().map_or(unspecified_address, |peer| peer.ip());
+    async fn serve(self: Rc<Self>, accepting: Accepting, connection: AcceptedConnection) {
+        let AcceptedConnection { stream, peer } = connection;
         let accepted = match self.tls.accept(stream, self.context.driver.clock.now()).await {
             Ok(accepted) => accepted,
             Err(end) => {
@@ -62,7 +60,7 @@
             }
         };
         let credentials = Credentials { token: None, certificate: accepted.certificate };
-        let caller = Caller { address, credentials: RefCell::new(credentials) };
+        let caller = Caller { address: peer.ip(), credentials: RefCell::new(credentials) };
         let on_line = async |connection: &Rc<ClientConnection<JobId>>, line: &[u8]| {
             self.handle_line(connection, &caller, line).await;
         };
--- a/crates/hazelgrade-server/src/transport/mod.rs
+++ b/crates/hazelgrade-server/src/transport/mod.rs
@@ -5,5 +5,6 @@
 pub mod database;
 pub mod executor;
 pub mod listener;
+pub mod log_limit;
 pub mod registry;
 pub mod tls;
--- a/crates/hazelgrade-server/tests/instance/log.rs
+++ b/crates/hazelgrade-server/tests/instance/log.rs
@@ -1,7 +1,7 @@
 //! The log lines by which the fate of a job or a connection can be told at the default level, and their bound.
 
 use crate::common::*;
-use hazelgrade_server::routing::event_log::LineLimit;
+use hazelgrade_server::transport::log_limit::LineLimit;
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
