A node recovers by itself from a folder that fails, at its start and later

Cause: SharedStore kept the error of the one attempt at the start; a rejection NotStored was final until the next connection; SharedStore::stored_state turned an error of reading into 'nothing stored'. Evidence: three new tests with real processes and a disk that fails by the fault library, all three failed before: EIO and ENOSPC of syncs and writes, all of them for a while at the start, and while a version is published; half of the syncs over five starts. Change: a start tries the store for 5 s; after that each write opens it again. A version that could not be stored is requested again by a new connection, after 2 s, then after twice as long each time, 60 s at most, so that a document which is too large for the disk does not come in a loop. What is not stored is neither in effect nor acknowledged, as before. Tried and dropped: a new connection as soon as any write succeeds; it cut off an offer that was on its way (the test of the full disk, and the generated histories). Open: a state that could not be read for 5 s is replaced by what the control service sends; a failed sync whose pages are lost when the machine loses power, not only the process; no counter of failed writes, only the log line.

--- a/crates/hazelgrade-fakes/src/node_process.rs
+++ b/crates/hazelgrade-fakes/src/node_process.rs
@@ -35,6 +35,8 @@
     pub stop_ms: u64,
     /// Its log level; `off` also drops its standard error.
     pub log: String,
+    /// Variables added to its environment, such as those of [`crate::system_faults::SystemFaults::environment`].
+    pub environment: Vec<(&'static str, PathBuf)>,
 }
 
 /// Sends a signal to a child that was not waited for, so that its id is still its own; `false` if it fails.
@@ -113,7 +115,7 @@
         let mut command = Command::new(&self.program);
         command.args(&self.arguments).arg("serve").arg("--config").arg(configuration);
         command.arg("--operator").arg(self.operator_file()).args(["--log", &self.log]);
-        command.env_remove("PROXY_CONFIG").stdin(Stdio::null());
+        command.env_remove("PROXY_CONFIG").envs(self.environment.iter().cloned()).stdin(Stdio::null());
         if self.log == "off" {
             command.stderr(Stdio::null());
         }
--- a/crates/hazelgrade-fakes/src/system_faults/mod.rs
+++ b/crates/hazelgrade-fakes/src/system_faults/mod.rs
@@ -103,7 +103,12 @@
 
     /// Has a process that is about to be started load the library.
     pub fn apply_to(&self, command: &mut Command) {
-        command.env("LD_PRELOAD", &self.library).env("SYSTEM_FAULTS", &self.path);
+        command.envs(self.environment());
+    }
+
+    /// The variables by which a process that is started with them loads the library.
+    pub fn environment(&self) -> [(&'static str, PathBuf); 2] {
+        [("LD_PRELOAD", self.library.clone()), ("SYSTEM_FAULTS", self.path.clone())]
     }
 
     /// Steps the Unix clock of the process to be ahead by this many milliseconds, or behind if negative.
--- a/crates/hazelgrade-fakes/src/test_environment.rs
+++ b/crates/hazelgrade-fakes/src/test_environment.rs
@@ -64,6 +64,7 @@
             stream: stream.into(),
             stop_ms: 2500,
             log: "warn".into(),
+            environment: Vec::new(),
         }
     }
 }
--- a/crates/hazelgrade-fault-injection/src/group/startup.rs
+++ b/crates/hazelgrade-fault-injection/src/group/startup.rs
@@ -214,6 +214,7 @@
             stream: self.stream_settings.clone(),
             stop_ms: self.surroundings.stop_ms,
             log: std::env::var("RIG_LOG").unwrap_or_else(|_| "off".into()),
+            environment: Vec::new(),
         };
         let callers = test_environment::start_late_callers(
             address(Link::Callers),
--- a/crates/hazelgrade-server/src/program/serving_document.rs
+++ b/crates/hazelgrade-server/src/program/serving_document.rs
@@ -7,7 +7,7 @@
 
 use super::configuration::Deployment;
 use super::documents;
-use super::store::SharedStore;
+use super::store::{OpenStore, SharedStore};
 use super::subscription::{StartedSubscription, Subscription};
 use hazelgrade_config::operator::StreamConfig;
 use hazelgrade_config::serving::ResourceLimits;
@@ -36,8 +36,8 @@
 }
 
 impl InitialConfiguration {
-    /// Opens the store and reads the document. A store that can't be used is left unmodified, and the node starts with
-    /// the document from the file. In tests, the process kills itself at change number `kill_at` of the store.
+    /// Opens the store and reads the document. If the store can't be used, the node starts with the document from the file,
+    /// and the store is opened again when a document is to be stored. In tests, the process kills itself at change number `kill_at` of the store.
     ///
     /// # Errors
     /// Returns an error for an invalid document, and for a store that is in use or belongs to another owner. These are
@@ -50,39 +50,29 @@
         let path = stream.store.display();
         let document =
             stream.document.as_deref().map(|path| documents::read(Kind::Serving, path)).transpose()?;
-        let store = match kill_at {
-            None => Store::open(&stream.store, owner),
-            Some(kill_at) => Store::open_with_kill_at(&stream.store, owner, kill_at),
-        };
-        let store_and_bytes = store.and_then(|mut store| {
-            let bytes = store.get(stored::store_key(Kind::Serving))?;
-            Ok((store, bytes))
-        });
-        match store_and_bytes {
-            Ok((store, bytes)) => {
-                let mut stored = StoredState::default();
-                let mut unreadable = None;
-                match bytes.as_deref().map(|bytes| StoredState::decode(Kind::Serving, bytes)).transpose() {
-                    Ok(state) => stored = state.unwrap_or_default(),
-                    Err(error) => {
-                        tracing::error!(
-                            "field stream.store: {path}: the stored document can't be decoded: {error}"
-                        );
-                        unreadable = bytes;
-                    }
-                }
-                let store = SharedStore::new(store);
-                Ok(InitialConfiguration { store, stored, unreadable, document })
-            }
+        let store = SharedStore::new(open_store(stream, owner, kill_at));
+        let mut initial =
+            InitialConfiguration { store, stored: StoredState::default(), unreadable: None, document };
+        let bytes = match initial.store.read_at_start(stored::store_key(Kind::Serving)) {
+            Ok(bytes) => bytes,
             Err(error @ (StoreError::OtherOwner { .. } | StoreError::InUse)) => {
-                Err(format!("field stream.store: {path}: {error}"))
+                return Err(format!("field stream.store: {path}: {error}"));
+            }
+            Err(error) => {
+                tracing::error!(
+                    "field stream.store: {path}: {error}; documents can't be stored until it can be used"
+                );
+                return Ok(initial);
             }
+        };
+        match bytes.as_deref().map(|bytes| StoredState::decode(Kind::Serving, bytes)).transpose() {
+            Ok(state) => initial.stored = state.unwrap_or_default(),
             Err(error) => {
-                tracing::error!("field stream.store: {path}: {error}; documents can't be stored");
-                let store = SharedStore::unusable(format!("{path}: {error}"));
-                Ok(InitialConfiguration { store, stored: StoredState::default(), unreadable: None, document })
+                tracing::error!("field stream.store: {path}: the stored document can't be decoded: {error}");
+                initial.unreadable = bytes;
             }
         }
+        Ok(initial)
     }
 
     /// Returns the process limits of the document with which the node starts.
@@ -112,3 +102,12 @@
         ServingSubscription { started, host }
     }
 }
+
+/// Returns how the store is opened. In tests, the process kills itself at change number `kill_at` of the store.
+fn open_store(stream: &StreamConfig, owner: &str, kill_at: Option<u64>) -> OpenStore {
+    let (path, owner) = (stream.store.clone(), owner.to_owned());
+    match kill_at {
+        None => Box::new(move || Store::open(&path, &owner)),
+        Some(kill_at) => Box::new(move || Store::open_with_kill_at(&path, &owner, kill_at)),
+    }
+}
--- a/crates/hazelgrade-server/tests/streaming/main.rs
+++ b/crates/hazelgrade-server/tests/streaming/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::expect_used, clippy::panic)]
 
 mod control;
+mod folder;
 mod names;
 mod node;
 
--- a/crates/hazelgrade-stream/src/subscriber/candidate.rs
+++ b/crates/hazelgrade-stream/src/subscriber/candidate.rs
@@ -108,6 +108,7 @@
         let Some(candidate) = &mut self.candidate else { return };
         match candidate.stage {
             Stage::Storing(awaited) if ticket >= awaited => {
+                self.unstored_version.stored();
                 candidate.stage = Stage::Applying;
                 let document = Some(candidate.document.clone());
                 actions.push(Action::Apply { document, is_rollback: false });
--- a/crates/hazelgrade-stream/src/subscriber/mod.rs
+++ b/crates/hazelgrade-stream/src/subscriber/mod.rs
@@ -19,6 +19,7 @@
 mod offers;
 mod state;
 mod storage;
+mod unstored_version;
 mod write_schedule;
 
 pub use event::{Action, Event, InEffect};
@@ -33,6 +34,7 @@
 use hazelgrade_config::{Document, Kind, operator};
 use state::{Candidate, Connection, Stage, VersionedDocument};
 use std::sync::Arc;
+use unstored_version::UnstoredVersion;
 use write_schedule::WriteSchedule;
 
 /// The configuration and the stored state that a subscriber starts with.
@@ -90,6 +92,8 @@
     /// The delay that the control service requested before the connection was closed.
     retry_after: Option<Span>,
     draining: bool,
+    /// When to request a version again that could not be stored.
+    unstored_version: UnstoredVersion,
     /// The report that a trial ended in a crash; sent on the first connection after the start.
     unreported_trial_end: Option<SubscriberMessage>,
 }
@@ -128,6 +132,7 @@
             control_service_index: 0,
             retry_after: None,
             draining: false,
+            unstored_version: UnstoredVersion::default(),
             unreported_trial_end: None,
         };
         actions.push(Action::Apply { document: subscriber.fallback_document(), is_rollback: false });
@@ -157,7 +162,8 @@
 
     /// The latest time at which [`Event::TimerFired`] is due.
     pub fn next_timer(&self) -> Option<Time> {
-        self.silence_deadline().into_iter().chain(self.writes.retry_at()).min()
+        let requests = self.unstored_version.request_at();
+        self.silence_deadline().into_iter().chain(self.writes.retry_at()).chain(requests).min()
     }
 
     /// Handles an event and appends the resulting actions to `actions`, in order.
@@ -180,6 +186,7 @@
         }
         self.check_silence(now, actions);
         self.retry_storing(now, actions);
+        self.request_unstored_version(now, actions);
     }
 
     /// Stops applying versions. The version in effect stays in effect. A version on trial neither passes nor fails, and
--- a/crates/hazelgrade-stream/src/subscriber/storage.rs
+++ b/crates/hazelgrade-stream/src/subscriber/storage.rs
@@ -2,7 +2,7 @@
 
 use super::Subscriber;
 use super::event::Action;
-use super::state::{Candidate, Stage};
+use super::state::{Candidate, Connection, Stage};
 use crate::protocol::Rejection;
 use hazelgrade::time::Time;
 
@@ -46,10 +46,23 @@
             // The candidate might not be stored as on trial, so the next start might not recognize a crash during the
             // trial. The candidate therefore doesn't take effect.
             self.reject_candidate(Rejection::NotStored(reason), actions);
+            self.unstored_version.rejected(now);
             self.handle_waiting_offer(actions);
         }
     }
 
+    /// Closes the connection once it is time to request a version again that could not be stored: a control service
+    /// offers its current version on each new connection.
+    pub(super) fn request_unstored_version(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.unstored_version.take_due(now)
+            && self.candidate.is_none()
+            && matches!(self.connection, Connection::Open { .. })
+        {
+            actions.push(Action::Log("requesting the version again that could not be stored".into()));
+            actions.push(Action::Disconnect);
+        }
+    }
+
     /// Begins another write once the delay after a failed write has passed.
     pub(super) fn retry_storing(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.writes.retry_at().is_some_and(|at| at <= now) {
