--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -3,13 +3,15 @@
 //! A job is first queued, then running, then finished. A job whose run is cancelled before the job was answered is
 //! queued again. One method per phase handles an event and returns the next phase.
 
+mod phase;
+
 use super::budget_share::LeaseExpired;
 use super::context::RequestContext;
 use super::controller_driver::ControllerEvent;
 use super::event_log::{Repeated, UnservedCause};
 use super::in_flight::JobEvent;
 use super::outcome::{self, CallEnd};
-use super::run_command::{LossWindow, Recovery, RunCommand, RunRules, SilenceResponse, UnconfirmedCommand};
+use super::run_command::{LossWindow, Recovery, RunCommand, RunRules, SilenceResponse};
 use crate::protocol::executor::{Command, RunEnd};
 use crate::protocol::jsonrpc::{Answer, JobRequest};
 use crate::protocol::{Body, from_bytes, to_bytes};
@@ -19,6 +21,7 @@
 use futures_lite::future::or;
 use hazelgrade::api::{Cancellation, Idempotency, Job, JobId, Outcome};
 use hazelgrade::time::{Span, Time};
+use phase::{Phase, RequestedCall, Run, SentCall, Timeout};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,108 +33,6 @@
 /// sockets are read first.
 const UNREAD_GRACE: Duration = Duration::from_millis(5);
 
-/// The phase of a job.
-enum Phase {
-    /// The job waits for a decision of the controller, or for the result of the original job of which it is a retry.
-    Queued,
-    /// The executor runs the job.
-    Running(Run),
-    /// The job has ended; `result` is set if the job succeeded.
-    Finished { result: Option<Body> },
-}
-
-impl Phase {
-    /// Returns the timeout that ends the wait for the next event, if there is one.
-    fn timeout(&self) -> Option<Timeout> {
-        match self {
-            Phase::Running(run) => run.timeout(),
-            Phase::Queued | Phase::Finished { .. } => None,
-        }
-    }
-}
-
-/// What a running job waits for at most until an instant.
-#[derive(Clone, Copy)]
-enum Timeout {
-    /// The end of the call in flight.
-    Call(Instant),
-    /// The next event of the run, after a command that may have been lost.
-    RunEvent(Instant),
-}
-
-impl Timeout {
-    fn at(self) -> Instant {
-        match self {
-            Timeout::Call(at) | Timeout::RunEvent(at) => at,
-        }
-    }
-
-    /// Returns the event that happens if nothing else happens before the timeout.
-    fn event(self) -> JobEvent {
-        match self {
-            Timeout::Call(_) => JobEvent::CallEnded(CallEnd::TimedOut),
-            Timeout::RunEvent(_) => JobEvent::RunSilent,
-        }
-    }
-}
-
-/// A run on the executor.
-struct Run {
-    started_at: Time,
-    /// The last command that the executor may not have received.
-    unconfirmed: Option<UnconfirmedCommand>,
-    /// Until when the run's next event is awaited, while the unconfirmed command is in doubt.
-    event_deadline: Option<Instant>,
-    /// Whether the controller has cancelled the run.
-    cancelled: bool,
-    /// The call that the run waits for, if there is one.
-    call: Option<RequestedCall>,
-}
-
-impl Run {
-    /// Records a command that was passed to the link to the executor.
-    fn set_unconfirmed(&mut self, command: RunCommand, sent: Result<(), NoLink>) {
-        self.unconfirmed = Some(UnconfirmedCommand::new(command, sent));
-        self.event_deadline = None;
-    }
-
-    /// Records that the executor has received all commands to the run.
-    fn confirm_commands(&mut self) {
-        self.unconfirmed = None;
-        self.event_deadline = None;
-    }
-
-    /// Returns whether the executor may not have received the command that starts the run.
-    fn is_start_unconfirmed(&self) -> bool {
-        self.unconfirmed.as_ref().is_some_and(|unconfirmed| *unconfirmed.command() == RunCommand::StartRun)
-    }
-
-    fn timeout(&self) -> Option<Timeout> {
-        let call_sent = self.call.as_ref().and_then(|call| call.sent.as_ref());
-        let call = call_sent.map(|sent| Timeout::Call(sent.deadline));
-        call.or(self.event_deadline.map(Timeout::RunEvent))
-    }
-}
-
-/// A call that a run waits for.
-struct RequestedCall {
-    /// Number of the executor's event; identifies the call when it is skipped.
-    cursor: u64,
-    body: Body,
-    /// Set while the call is in flight.
-    sent: Option<SentCall>,
-    /// Whether the call was in flight before and ended without a reply for the run.
-    is_repeated: bool,
-}
-
-/// A call in flight.
-#[derive(Clone, Copy)]
-struct SentCall {
-    started_at: Time,
-    /// When the call times out.
-    deadline: Instant,
-}
-
 /// The task of an admitted job.
 struct JobTask {
     id: JobId,
