Plays with two lives, a slow database, pieces, aborts and requests with little time left

Change: in the suite clients a node may be started a second time under the same clients; the database may take 4 s for a call; some requests come in two pieces, are taken back at once, or have 5 ms left. A play with failing calls opens connections until an accept has failed, so that each play proves something.

--- a/crates/hazelgrade-server/tests/clients/client.rs
+++ b/crates/hazelgrade-server/tests/clients/client.rs
@@ -3,7 +3,7 @@
 
 use hazelgrade::random::MultiplyWithCarry;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -37,6 +37,8 @@
     pub clock_offset_ms: Arc<AtomicI64>,
     /// Counts how often all clients were told to break their connections and open new ones.
     pub resets: Arc<AtomicU64>,
+    /// Whether clients find the node in their list. Without that they open no connections.
+    pub is_listed: Arc<AtomicBool>,
     pub stop: Arc<AtomicBool>,
 }
 
@@ -50,7 +52,7 @@
     Unreadable,
     /// The connection ended without an answer.
     Unanswered,
-    /// The client itself broke the connection.
+    /// The client itself broke the connection, gave the request up, or sent it with too little time to be answered.
     Abandoned,
 }
 
@@ -73,6 +75,8 @@
     key: Option<String>,
     class: usize,
     written: Instant,
+    /// Whether the client waits for an answer until its deadline.
+    is_owed: bool,
 }
 
 /// A keyed request that is to be tried again.
@@ -86,11 +90,31 @@
     stream: TcpStream,
     unread: Vec<u8>,
     open: BTreeMap<u64, Pending>,
+    /// Requests that the client forgot; an answer to one does no harm.
+    forgotten: BTreeSet<u64>,
     last_number: u64,
     /// [`Surroundings::resets`] when the connection was opened.
     resets: u64,
 }
 
+/// How a client sends its next request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Manner {
+    /// Whole, and waits for the answer.
+    Plainly,
+    /// In two pieces with a pause between them.
+    InPieces,
+    /// Whole, and takes it back at once.
+    AndAborts,
+    /// So late that next to no time is left, and forgets it.
+    AtTheLastMoment,
+}
+
+/// Pause between the two pieces of a line.
+const PIECE_PAUSE: Duration = Duration::from_millis(40);
+/// Time that is left for a request that is sent at the last moment.
+const LAST_MOMENT: Duration = Duration::from_millis(5);
+
 /// Starts a client that sends `rate` requests a second; its thread returns what became of them.
 pub fn start(surroundings: Surroundings, seed: u64, rate: f64) -> JoinHandle<Vec<Outcome>> {
     std::thread::spawn(move || {
@@ -128,6 +152,7 @@
             } else if open.resets != self.surroundings.resets.load(Ordering::Relaxed) {
                 self.end(connection.take(), Ending::Abandoned);
             } else if !is_due {
+                self.forget_overdue(open);
                 std::thread::sleep(STEP);
             }
         }
@@ -140,6 +165,10 @@
     }
 
     fn connect(&self) -> Option<Connection> {
+        if !self.surroundings.is_listed.load(Ordering::Relaxed) {
+            std::thread::sleep(STEP);
+            return None;
+        }
         let connected = TcpStream::connect(self.surroundings.node).and_then(|stream| {
             stream.set_nodelay(true)?;
             stream.set_nonblocking(true)?;
@@ -150,7 +179,14 @@
         }
         let stream = connected.ok()?;
         let resets = self.surroundings.resets.load(Ordering::Relaxed);
-        Some(Connection { stream, unread: Vec::new(), open: BTreeMap::new(), last_number: 0, resets })
+        Some(Connection {
+            stream,
+            unread: Vec::new(),
+            open: BTreeMap::new(),
+            forgotten: BTreeSet::new(),
+            last_number: 0,
+            resets,
+        })
     }
 
     /// Sends the next request, unless as many are open as may be. Returns `false` if the connection has ended.
@@ -167,10 +203,56 @@
         self.count += 1;
         let number = connection.last_number;
         let id = format!("{:08x}{:08x}", self.seed as u32, self.count);
-        let line = self.line(number, &id, class, key.as_deref());
+        let manner = self.draw_manner(class);
+        let held = match manner {
+            Manner::AtTheLastMoment => self.surroundings.classes[class].deadline.saturating_sub(LAST_MOMENT),
+            _ => Duration::ZERO,
+        };
+        let line = self.line(number, &id, class, key.as_deref(), held);
+        let is_owed = matches!(manner, Manner::Plainly | Manner::InPieces);
+        let (start, rest) =
+            line.as_bytes().split_at(if manner == Manner::InPieces { line.len() / 2 } else { 0 });
+        if !start.is_empty() {
+            if !write_all(&mut connection.stream, start) {
+                return false;
+            }
+            std::thread::sleep(PIECE_PAUSE);
+        }
         let written = Instant::now();
-        connection.open.insert(number, Pending { id, key, class, written });
-        write_all(&mut connection.stream, line.as_bytes())
+        connection.open.insert(number, Pending { id, key, class, written, is_owed });
+        let abort = format!("{}\n", json!({"jsonrpc": "2.0", "method": "abort", "params": {"id": number}}));
+        write_all(&mut connection.stream, rest)
+            && (manner != Manner::AndAborts || write_all(&mut connection.stream, abort.as_bytes()))
+    }
+
+    /// Draws the manner of a request. A keyed one is not held back: its window counts from its time stamp.
+    fn draw_manner(&mut self, class: usize) -> Manner {
+        let is_keyed = self.surroundings.classes[class].is_keyed;
+        match self.random.next_f64() {
+            drawn if drawn < 0.03 => Manner::InPieces,
+            drawn if drawn < 0.06 => Manner::AndAborts,
+            drawn if drawn < 0.08 && !is_keyed => Manner::AtTheLastMoment,
+            _ => Manner::Plainly,
+        }
+    }
+
+    /// Forgets the requests for which nobody waits any more.
+    fn forget_overdue(&mut self, connection: &mut Connection) {
+        let overdue = |pending: &Pending| {
+            !pending.is_owed && pending.written.elapsed() > self.surroundings.classes[pending.class].deadline
+        };
+        let numbers: Vec<u64> = connection
+            .open
+            .iter()
+            .filter(|(_, pending)| overdue(pending))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in numbers {
+            connection.forgotten.insert(number);
+            if let Some(pending) = connection.open.remove(&number) {
+                self.record(number, pending, Ending::Abandoned);
+            }
+        }
     }
 
     /// Draws the class and the key of a new request. A third of the keyed ones will be tried again.
@@ -189,10 +271,12 @@
         (class, Some(key))
     }
 
-    fn line(&self, number: u64, id: &str, class: usize, key: Option<&str>) -> String {
+    /// Returns the line of a request that came to the machine `held` ago.
+    fn line(&self, number: u64, id: &str, class: usize, key: Option<&str>, held: Duration) -> String {
         let unix_ms =
             SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64);
-        let stamp = unix_ms + self.surroundings.clock_offset_ms.load(Ordering::Relaxed);
+        let stamp =
+            unix_ms + self.surroundings.clock_offset_ms.load(Ordering::Relaxed) - held.as_millis() as i64;
         let name = self.surroundings.classes[class].name;
         let mut params = json!({"req": id, "ts": stamp, "via": 1, "owner": "c0", "need": 12.5, "level": 0.5,
             "body": "aGVsbG8="});
@@ -235,6 +319,7 @@
         let number = message["id"].as_u64().unwrap_or(0);
         match connection.open.remove(&number) {
             Some(pending) => self.record(number, pending, ending),
+            None if connection.forgotten.contains(&number) => {}
             // The last line before a connection is closed answers no request.
             None if message["id"].is_null() => {}
             None => self.record_unknown(number),
@@ -242,13 +327,14 @@
     }
 
     fn record(&mut self, number: u64, pending: Pending, ending: Ending) {
-        let Pending { id, key, class, written } = pending;
+        let Pending { id, key, class, written, is_owed } = pending;
+        let ending = if is_owed { ending } else { Ending::Abandoned };
         self.outcomes.push(Outcome { id, key, class, written, ended: Instant::now(), ending, number });
     }
 
     fn record_unknown(&mut self, number: u64) {
         let now = Instant::now();
-        let pending = Pending { id: "unknown".into(), key: None, class: 0, written: now };
+        let pending = Pending { id: "unknown".into(), key: None, class: 0, written: now, is_owed: true };
         self.record(number, pending, Ending::Unreadable);
     }
 
--- a/crates/hazelgrade-server/tests/clients/play.rs
+++ b/crates/hazelgrade-server/tests/clients/play.rs
@@ -4,11 +4,13 @@
 use crate::client::{self, JobClass, Outcome, Surroundings};
 use crate::crowd::Crowd;
 use hazelgrade::random::MultiplyWithCarry;
+use hazelgrade_fakes::dependency::Dependency;
 use hazelgrade_fakes::executor::{Executor, Workload};
 use hazelgrade_fakes::registry::Registry;
 use hazelgrade_fakes::system_faults::{SystemCall, SystemFaults};
-use hazelgrade_fakes::{database, free_address, wait_until};
+use hazelgrade_fakes::{free_address, wait_until};
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -25,6 +27,11 @@
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long clients send under faults before the first signal to end.
 const FAULTS_FOR: Duration = Duration::from_secs(6);
+/// How long a call to the database takes, usually and while it is slow.
+const USUAL_CALL: Duration = Duration::from_millis(2);
+const SLOW_CALL: Duration = Duration::from_secs(4);
+/// Calls that the database takes at once.
+const MAX_CALLS: usize = 1000;
 /// Steps of the Unix clock that are drawn, in milliseconds.
 const CLOCK_STEPS_MS: [i64; 6] = [3_600_000, -3_600_000, 20_000, -20_000, 700, -700];
 
@@ -39,6 +46,8 @@
     pub has_crowd: bool,
     pub steps_clock: bool,
     pub fails_calls: bool,
+    /// How often the node is started.
+    pub lives: usize,
     /// How long the executor stays down after the start of the node.
     pub executor_down: Duration,
 }
@@ -47,18 +56,23 @@
 pub struct Record {
     pub plan: Plan,
     pub outcomes: Vec<Outcome>,
+    pub lives: Vec<Life>,
+    /// How often each kind of call failed.
+    pub hits: Vec<(SystemCall, i64)>,
+    /// The node's log.
+    pub log: String,
+}
+
+/// What happened in one life of the node.
+pub struct Life {
     /// How often each job was started on the executor.
-    pub runs: std::collections::BTreeMap<String, u32>,
+    pub runs: BTreeMap<String, u32>,
     /// When the process stood still, and until when.
     pub pauses: Vec<(Instant, Instant)>,
     /// When the process was killed, if it still ran then.
     pub killed: Option<Instant>,
     /// The exit code, if the process left by itself.
     pub exit_code: Option<i32>,
-    /// How often each kind of call failed.
-    pub hits: Vec<(SystemCall, i64)>,
-    /// The node's log.
-    pub log: String,
 }
 
 struct Picker(MultiplyWithCarry);
@@ -91,6 +105,7 @@
             steps_clock: picker.pick(&[false, true]),
             fails_calls: picker.pick(&[false, true]),
             executor_down: Duration::from_millis(picker.pick(&[0, 0, 500])),
+            lives: picker.pick(&[1, 1, 2]),
             classes,
         }
     }
@@ -129,7 +144,7 @@
     folder: TempDir,
     executor: Executor,
     registry: Registry,
-    database: SocketAddr,
+    database: Dependency,
     listen: SocketAddr,
     faults: SystemFaults,
 }
@@ -142,7 +157,7 @@
         Ok(Stage {
             executor: Executor::start(workload)?,
             registry: Registry::start()?,
-            database: database::start(Duration::from_millis(2))?,
+            database: Dependency::start(USUAL_CALL, MAX_CALLS)?,
             listen: free_address(),
             faults,
             folder,
@@ -153,7 +168,7 @@
         let path = self.folder.path().join("n1.json");
         let configuration = json!({
             "name": "n1", "listen": self.listen.to_string(), "executor": self.executor.address.to_string(),
-            "registry": self.registry.address.to_string(), "db": self.database.to_string(),
+            "registry": self.registry.address.to_string(), "db": self.database.address.to_string(),
             "seed": format!("{:016x}", plan.seed), "stop_ms": plan.stop_after().as_millis() as u64,
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 384}, "settings": plan.settings()
         });
@@ -189,46 +204,58 @@
 /// Plays a plan, and returns what happened.
 pub fn play(plan: &Plan) -> Record {
     let stage = Stage::new(plan.seed).expect("files and ports are free");
-    stage.executor.set_up(false);
-    let mut node = stage.start_node(plan).expect("the node starts");
-    std::thread::sleep(plan.executor_down);
-    stage.executor.set_up(true);
-    assert!(wait_until(START_TIMEOUT, || answers_health_check(stage.listen)), "seed {}: not up", plan.seed);
     let surroundings = Surroundings {
         node: stage.listen,
         classes: plan.classes.clone(),
         window: plan.window,
         clock_offset_ms: Arc::new(AtomicI64::new(0)),
         resets: Arc::new(AtomicU64::new(0)),
+        is_listed: Arc::new(AtomicBool::new(false)),
         stop: Arc::new(AtomicBool::new(false)),
     };
-    let crowd = plan.has_crowd.then(|| Crowd::start(stage.listen));
+    let mut picker = Picker(MultiplyWithCarry::new(plan.seed ^ 0xfa17));
     let clients: Vec<_> = plan
         .rates
         .iter()
         .zip(1..)
         .map(|(rate, number)| client::start(surroundings.clone(), plan.seed << 8 | number, *rate))
         .collect();
-    let mut picker = Picker(MultiplyWithCarry::new(plan.seed ^ 0xfa17));
-    let pauses = inject_faults(plan, &stage, &node, &surroundings, &mut picker);
-    let (killed, exit_code) = end_node(plan, &stage, &mut node, &mut picker);
+    let lives: Vec<Life> =
+        (0..plan.lives).map(|_| play_life(plan, &stage, &surroundings, &mut picker)).collect();
     surroundings.stop.store(true, Ordering::Relaxed);
     let outcomes = clients.into_iter().flat_map(|client| client.join().expect("the client ran")).collect();
-    drop(crowd);
     let calls =
         [SystemCall::Accept, SystemCall::ShortIo, SystemCall::InterruptedIo, SystemCall::SocketOption];
     Record {
         plan: plan.clone(),
         outcomes,
-        runs: stage.executor.runs(),
-        pauses,
-        killed,
-        exit_code,
+        lives,
         hits: calls.map(|call| (call, stage.faults.hits(call))).to_vec(),
         log: std::fs::read_to_string(stage.log_path()).unwrap_or_default(),
     }
 }
 
+/// Plays one life of the node, from its start to its end.
+fn play_life(plan: &Plan, stage: &Stage, surroundings: &Surroundings, picker: &mut Picker) -> Life {
+    let runs_before = stage.executor.runs();
+    stage.executor.restart();
+    stage.executor.set_hung(false);
+    stage.executor.set_up(false);
+    let mut node = stage.start_node(plan).expect("the node starts");
+    std::thread::sleep(plan.executor_down);
+    stage.executor.set_up(true);
+    assert!(wait_until(START_TIMEOUT, || answers_health_check(stage.listen)), "seed {}: not up", plan.seed);
+    surroundings.is_listed.store(true, Ordering::Relaxed);
+    let crowd = plan.has_crowd.then(|| Crowd::start(stage.listen));
+    let pauses = inject_faults(plan, stage, &node, surroundings, picker);
+    let (killed, exit_code) = end_node(plan, stage, &mut node, picker);
+    surroundings.is_listed.store(false, Ordering::Relaxed);
+    drop(crowd);
+    let mut runs = stage.executor.runs();
+    runs.retain(|id, _| !runs_before.contains_key(id));
+    Life { runs, pauses, killed, exit_code }
+}
+
 /// Injects faults one after the other for [`FAULTS_FOR`]. Returns when the process stood still.
 fn inject_faults(
     plan: &Plan,
@@ -244,10 +271,12 @@
         stage.faults.set_failing(SystemCall::ShortIo, picker.pick(&[30, 80]));
         stage.faults.set_failing(SystemCall::InterruptedIo, picker.pick(&[5, 30]));
         stage.faults.set_failing(SystemCall::SocketOption, picker.pick(&[30, 70]));
+        let has_failed = || stage.faults.hits(SystemCall::Accept) > 0;
+        wait_until(START_TIMEOUT, || answers_health_check(stage.listen) && has_failed());
     }
     while Instant::now() < end {
         std::thread::sleep(picker.between_ms(50, 400));
-        match picker.pick(&[0, 0, 1, 2, 3, 4, 5, 5]) {
+        match picker.pick(&[0, 0, 1, 2, 3, 4, 5, 6, 6]) {
             0 => {
                 stage.executor.set_hung(true);
                 if picker.pick(&[false, true]) {
@@ -272,6 +301,11 @@
                 let usual = Workload { job_duration: Duration::from_millis(8), ..slow };
                 stage.executor.set_workload(usual);
             }
+            5 => {
+                stage.database.set_call_duration(SLOW_CALL);
+                std::thread::sleep(picker.between_ms(300, 1500));
+                stage.database.set_call_duration(USUAL_CALL);
+            }
             _ if plan.steps_clock => {
                 let stepped = stage.faults.unix_clock_offset_ms() == 0;
                 let offset_ms = if stepped { picker.pick(&CLOCK_STEPS_MS) } else { 0 };
--- a/crates/hazelgrade-server/tests/clients/verdict.rs
+++ b/crates/hazelgrade-server/tests/clients/verdict.rs
@@ -1,7 +1,7 @@
 //! Judges a play by the rules that clients see: one answer in time for each request, no effect twice.
 
 use crate::client::{Ending, Outcome};
-use crate::play::{Plan, Record};
+use crate::play::{Life, Plan, Record};
 use hazelgrade_fakes::system_faults::SystemCall;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -24,7 +24,7 @@
     slowest: Duration,
     broken: Vec<String>,
     hits: Vec<(SystemCall, i64)>,
-    exit_code: Option<i32>,
+    exit_codes: Vec<Option<i32>>,
     log: Vec<String>,
 }
 
@@ -37,9 +37,8 @@
         broken.extend(broken_rule(record, outcome));
     }
     broken.extend(run_twice(record));
-    if record.killed.is_none() && record.exit_code != Some(0) {
-        broken.push(format!("exit code {:?}", record.exit_code));
-    }
+    let ended_wrong = record.lives.iter().filter(|life| life.killed.is_none() && life.exit_code != Some(0));
+    broken.extend(ended_wrong.map(|life| format!("exit code {:?}", life.exit_code)));
     if record.plan.fails_calls {
         let missed = record.hits.iter().filter(|(_, hits)| *hits == 0);
         broken.extend(missed.map(|(call, _)| format!("{call:?} never failed: the play proves nothing")));
@@ -52,7 +51,7 @@
         slowest: record.outcomes.iter().map(latency).max().unwrap_or_default(),
         broken,
         hits: record.hits.clone(),
-        exit_code: record.exit_code,
+        exit_codes: record.lives.iter().map(|life| life.exit_code).collect(),
         log: telling_lines(record),
     }
 }
@@ -78,13 +77,17 @@
         Ending::Unanswered | Ending::Abandoned => None,
         Ending::Unreadable => Some(describe("answer that can't be read, or a second one")),
         Ending::Served | Ending::Rejected | Ending::Failed if took > allowed => Some(describe("late")),
-        Ending::Rejected if is_keyed(record, outcome) && record.runs.contains_key(&outcome.id) => {
+        Ending::Rejected if is_keyed(record, outcome) && has_run(record, outcome) => {
             Some(describe("rejected after its run"))
         }
         Ending::Served | Ending::Rejected | Ending::Failed => None,
     }
 }
 
+fn has_run(record: &Record, outcome: &Outcome) -> bool {
+    record.lives.iter().any(|life| life.runs.contains_key(&outcome.id))
+}
+
 fn is_keyed(record: &Record, outcome: &Outcome) -> bool {
     record.plan.classes[outcome.class].is_keyed
 }
@@ -95,7 +98,7 @@
         let end = outcome.ended.min(*to);
         end.saturating_duration_since(outcome.written.max(*from))
     };
-    record.pauses.iter().map(overlap).sum()
+    record.lives.iter().flat_map(|life| &life.pauses).map(overlap).sum()
 }
 
 /// Returns the lines of the node's log about ended connections, violations and the jobs of requests that were lost.
@@ -111,12 +114,16 @@
     record.log.lines().filter(tells).take(MAX_LINES).map(str::to_owned).collect()
 }
 
-/// Returns the keys of which more than one try was run. Clients try again inside the window only.
+/// Returns the keys of which more than one try was run in one life of the node. Clients try again inside the window only.
 fn run_twice(record: &Record) -> Vec<String> {
+    record.lives.iter().flat_map(|life| run_twice_in(record, life)).collect()
+}
+
+fn run_twice_in(record: &Record, life: &Life) -> Vec<String> {
     let mut runs: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     for outcome in &record.outcomes {
         if let Some(key) = &outcome.key
-            && let Some(count) = record.runs.get(&outcome.id)
+            && let Some(count) = life.runs.get(&outcome.id)
         {
             runs.entry(key).or_default().extend(vec![outcome.id.as_str(); *count as usize]);
         }
@@ -139,7 +146,7 @@
             formatter,
             "seed {}: {verdict}; {} requests {:?}, slowest {:?}; rates {rates:?}, crowd {has_crowd}, clock {steps_clock}, \
              calls {fails_calls} {:?}, exit {:?}",
-            self.seed, self.count, self.endings, self.slowest, self.hits, self.exit_code
+            self.seed, self.count, self.endings, self.slowest, self.hits, self.exit_codes
         )?;
         if self.is_kept() {
             return Ok(());
