--- a/crates/hazelgrade-server/src/routing/executor_events.rs
+++ b/crates/hazelgrade-server/src/routing/executor_events.rs
@@ -9,6 +9,7 @@
 use super::run_command::LossWindow;
 use crate::protocol::executor::{self, Command, Event};
 use crate::transport::executor::{ExecutorLink, LinkHandler};
+use crate::transport::log_limit::LineLimit;
 use async_executor::LocalExecutor;
 use hazelgrade::time::Span;
 use hazelgrade_net::connection_end::ConnectionEnd;
@@ -47,6 +48,7 @@
     /// Set when a link ends: commands sent from this instant on may have been lost.
     lost_from: Cell<Option<Instant>>,
     malformed_lines: Cell<u64>,
+    log_limit: LineLimit,
     /// The cursor at the time of the last request to repeat events.
     repeat_requested_at: Cell<Option<u64>>,
 }
@@ -70,6 +72,7 @@
             uptime: Cell::new(None),
             lost_from: Cell::new(None),
             malformed_lines: Cell::new(0),
+            log_limit: LineLimit::default(),
             repeat_requested_at: Cell::new(None),
         }
     }
@@ -212,8 +215,11 @@
         if self.lost_from.get().is_none() {
             self.lost_from.set(Some(self.driver.commands_confirmed_until()));
         }
-        if end != ConnectionEnd::Unreachable && end != ConnectionEnd::Moved {
-            tracing::warn!(?end, "executor link ended");
+        if end != ConnectionEnd::Unreachable
+            && end != ConnectionEnd::Moved
+            && let Some(left_out) = self.log_limit.permit(Instant::now())
+        {
+            tracing::warn!(?end, left_out, "executor link ended");
         }
     }
 }
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -195,7 +195,8 @@
         }
     }
 
-    /// Answers a job whose id is already in flight, and counts a violation. Returns `false` if the id is not in flight.
+    /// Answers a job whose id is already in flight, and counts a violation, unless the caller of the job in flight is gone.
+    /// Returns `false` if the id is not in flight.
     fn answer_if_in_flight(
         &self,
         connection: &ClientConnection<JobId>,
@@ -207,6 +208,12 @@
         };
         // The outcome of the job in flight is not known yet, so a duplicate of that job fails. A different job under
         // the same id does not run and is rejected.
+        if is_same && !self.context.in_flight.is_unanswered(&request.job.id) {
+            // The connection of the first copy is gone, and its caller sent the job once more.
+            self.answer(connection, request.call_id, &Answer::Failed);
+            self.context.count_rejection(connection);
+            return true;
+        }
         let answer = if is_same { Answer::Failed } else { REJECTED };
         self.answer_duplicate_id(connection, request, &answer);
         true
--- a/crates/hazelgrade-server/tests/instance/honest_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -237,6 +237,30 @@
     assert_eq!(instance.exit_code(), Some(0));
 }
 
+/// Guards against cutting off a client that sends its jobs once more after its connection broke, while the first copies
+/// still run: their caller is gone, and nobody copies anybody's id.
+#[test]
+fn jobs_sent_again_after_their_connection_broke_are_answered_and_count_no_violation() {
+    let instance = start_with_deadlines(4000, 4000);
+    let (mut link, mut client) = instance.ready();
+    let jobs: Vec<Value> = (1..=6).map(|call| job(call, "book", &format!("b{call}"))).collect();
+    jobs.iter().for_each(|job| client.send(job));
+    let running = link.command()["handle"].clone();
+    // A socket that is closed with unread bytes is reset.
+    client.send(&json!({"jsonrpc": "2.0", "id": 90, "method": "ping"}));
+    assert!(client.stream().peek(&mut [0]).is_ok_and(|count| count == 1));
+    drop(client);
+    let again = jobs.iter().find(|job| job["params"]["req"] == running).expect("one of the jobs runs");
+    let mut other = instance.client();
+    for call in 1..=6 {
+        let mut job = again.clone();
+        job["id"] = json!(call);
+        other.send(&job);
+        assert_eq!(other.receive()["error"]["code"], -32000);
+    }
+    assert_eq!(other.check(900)["result"]["up"], true);
+}
+
 /// Guards against open calls of hostile clients that take more memory than 16 on each connection and 1,024 beyond them,
 /// against less than 32 for a new connection while there is room, and against calls that stay counted.
 #[test]
