A control service reads a document again while it is not published

What operators saw: a document that was put into the folder while a file could not be opened, or while the number of its version could not be stored, was not published until the folder changed again. Cause: the folder's change was noted before the reading had succeeded; a failed number was final. Evidence: the test, with a real control service and the fault library; on the code before it fails at the document that could not be opened (the failed number came through there, as the file is read once more 50 ms after a change and the disk worked again by then). Change: a document that is not the published one is read again each second. The stored counter is tried for 3 s at a start.

--- a/crates/hazelgrade-fakes/src/control_process.rs
+++ b/crates/hazelgrade-fakes/src/control_process.rs
@@ -27,6 +27,8 @@
     pub documents: TempDir,
     /// Arguments after its own.
     pub extra_arguments: Vec<String>,
+    /// Variables added to its environment at its next start.
+    pub environment: Vec<(&'static str, PathBuf)>,
 }
 
 /// Replaces the serving document in a folder in one step, as operators are told to.
@@ -87,6 +89,7 @@
             address: free_address(),
             documents,
             extra_arguments: Vec::new(),
+            environment: Vec::new(),
         })
     }
 
@@ -166,7 +169,8 @@
         command
             .arg(self.documents.path())
             .args(["--listen", &self.address.to_string()])
-            .args(&self.extra_arguments);
+            .args(&self.extra_arguments)
+            .envs(self.environment.iter().cloned());
         self.child = Some(command.stdin(Stdio::null()).stderr(stderr).spawn()?);
         Ok(())
     }
--- a/crates/hazelgrade-server/tests/streaming/folder.rs
+++ b/crates/hazelgrade-server/tests/streaming/folder.rs
@@ -5,7 +5,7 @@
 use hazelgrade_fakes::control_process::ControlServiceProcess;
 use hazelgrade_fakes::documents::{BOOK, READ};
 use hazelgrade_fakes::node_process::{NodeConfig, NodeProcess};
-use hazelgrade_fakes::system_faults::{DiskCall, SystemFaults};
+use hazelgrade_fakes::system_faults::{DiskCall, SystemCall, SystemFaults};
 use hazelgrade_fakes::{test_environment, wait_until};
 use rustix::io::Errno;
 use std::path::Path;
@@ -125,3 +125,34 @@
     assert!(setup.faults.disk_hits().0 > 0, "no sync failed");
     drop(callers.stop());
 }
+
+/// Guards against a document that is never published because the disk of its control service failed when the document was
+/// read, or when its number was stored.
+#[test]
+fn a_document_is_published_once_the_disk_of_its_control_service_works_again() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let program = Path::new(env!("CARGO_BIN_EXE_hazelgrade"));
+    let mut control =
+        ControlServiceProcess::start(program, &[], "test", &doc(&[READ], "")).expect("it starts");
+    let faults = SystemFaults::new(folder.path(), 31).expect("the library is built");
+    control.environment = faults.environment().into();
+    control.restart().expect("it starts");
+    let publishes = |control: &ControlServiceProcess, number: u64| {
+        wait_until(RECOVERY, || {
+            let status = control.status();
+            status["version"].as_str().is_some_and(|version| version.starts_with(&format!("{number} ")))
+        })
+    };
+    assert!(publishes(&control, 1));
+    faults.set_disk_failing(DiskCall::Sync(Errno::IO), 100);
+    control.publish(&doc(&[READ, BOOK], "").to_toml()).expect("the document is written");
+    assert!(wait_until(RECOVERY, || faults.disk_hits().0 > 0), "no sync failed");
+    faults.heal();
+    assert!(publishes(&control, 2), "published after its number could not be stored");
+    faults.set_failing(SystemCall::Open, 100);
+    control.publish(&doc(&[BOOK], "").to_toml()).expect("the document is written");
+    assert!(wait_until(RECOVERY, || faults.hits(SystemCall::Open) > 1), "no file failed to open");
+    std::thread::sleep(2 * POLL);
+    faults.heal();
+    assert!(publishes(&control, 3), "published after it could not be read");
+}
--- a/crates/hazelgrade-stream/src/control_service/counter_file.rs
+++ b/crates/hazelgrade-stream/src/control_service/counter_file.rs
@@ -3,9 +3,11 @@
 use super::file_names::counter_file;
 use crate::publisher::Counter;
 use hazelgrade_config::{Kind, Version};
+use hazelgrade_net::transient;
 use serde_json::{Value, json};
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// The reason why a stored counter can't be read.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +38,11 @@
     },
 }
 
+/// How long a start waits for a counter that can't be read.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause between two attempts to read the counter.
+const READ_PAUSE: Duration = Duration::from_millis(20);
+
 /// Reads the stored counter of a kind of document from the folder. Returns `None` if no counter has been stored yet.
 ///
 /// # Errors
@@ -43,7 +50,7 @@
 /// Returns what is wrong with the file.
 pub fn read_counter(documents: &Path, kind: Kind) -> Result<Option<Counter>, CounterFileError> {
     let path = documents.join(counter_file(kind));
-    let bytes = match std::fs::read(&path) {
+    let bytes = match transient::retry(READ_TIMEOUT, READ_PAUSE, || std::fs::read(&path)) {
         Ok(bytes) => bytes,
         Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
         Err(source) => return Err(CounterFileError::Unreadable { path, source }),
--- a/crates/hazelgrade-stream/src/control_service/folder.rs
+++ b/crates/hazelgrade-stream/src/control_service/folder.rs
@@ -15,6 +15,9 @@
 /// The delay after which a changed file is read once more, because a second change within the resolution of the file
 /// system's clock may leave the fingerprint the same. The delay is longer than that resolution.
 const REREAD_DELAY: Duration = Duration::from_millis(50);
+/// The delay after which a document is read again that is not published: the disk may have failed for a while, when the
+/// document was read or when its number was stored.
+const UNPUBLISHED_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The most errors of a document that are listed in the log and in the status report.
 const MAX_ERRORS_NAMED: usize = 20;
 
@@ -54,6 +57,16 @@
         changed && (fingerprint.is_some() || kind == Kind::Serving)
     }
 
+    /// Plans the next reading of a file that was just read: shortly after a change, and until its document is published.
+    fn plan_reread(&mut self, has_changed: bool, is_published: bool) {
+        let delay = match (has_changed, is_published) {
+            (true, _) => REREAD_DELAY,
+            (false, false) => UNPUBLISHED_RETRY_DELAY,
+            (false, true) => return,
+        };
+        self.reread_at = Some(Instant::now() + delay);
+    }
+
     /// Returns whether the file is to be read once more now after a change, and clears the time of the reading if so.
     fn is_reread_due(&mut self) -> bool {
         self.reread_at.take_if(|at| *at <= Instant::now()).is_some()
@@ -68,11 +81,10 @@
             for kind in Kind::ALL {
                 let path = self.config.documents.join(document_file(kind));
                 let watched = watched.entry(kind).or_default();
-                if watched.has_changed(kind, &path) {
-                    self.read_document(kind, &path);
-                    watched.reread_at = Some(Instant::now() + REREAD_DELAY);
-                } else if watched.is_reread_due() {
-                    self.read_document(kind, &path);
+                let has_changed = watched.has_changed(kind, &path);
+                if has_changed || watched.is_reread_due() {
+                    let is_published = self.read_document(kind, &path);
+                    watched.plan_reread(has_changed, is_published);
                 }
                 self.notify_publisher(kind, Event::TimerFired);
             }
@@ -80,8 +92,9 @@
         }
     }
 
-    /// Reads a document and passes it to its publisher, or records and logs why the document can't be published.
-    fn read_document(&self, kind: Kind, path: &Path) {
+    /// Reads a document and passes it to its publisher, or records and logs why the document can't be published. Returns
+    /// whether the document is published.
+    fn read_document(&self, kind: Kind, path: &Path) -> bool {
         let displayed_path = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|error| format!("{displayed_path}: {error}"));
         let document = text.and_then(|text| {
@@ -91,13 +104,19 @@
         match document {
             Ok(document) => {
                 self.document_errors.borrow_mut().remove(&kind);
+                let digest = document.digest();
                 self.notify_publisher(kind, Event::DocumentChanged(document));
+                let publisher = self.publishers.get(&kind).map(|publisher| publisher.borrow());
+                publisher.is_some_and(|publisher| {
+                    publisher.current_version().is_some_and(|current| current.digest == digest)
+                })
             }
             Err(error) => {
                 let previous = self.document_errors.borrow_mut().insert(kind, error.clone());
                 if previous.as_ref() != Some(&error) {
                     tracing::error!("document is not published: {error}");
                 }
+                false
             }
         }
     }
--- a/crates/hazelgrade-stream/src/publisher/versions.rs
+++ b/crates/hazelgrade-stream/src/publisher/versions.rs
@@ -46,7 +46,7 @@
                 self.publish(version, document, actions);
             }
             Err(reason) => {
-                // No subscriber knows the number. The document is published when the folder changes again.
+                // No subscriber knows the number. The document is passed in again while it is not published.
                 actions.push(Action::Log(format!(
                     "version {version} is not published, as its number could not be stored: {reason}"
                 )));
