--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -17,7 +17,8 @@
 import time
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
-HELD, BROKEN, CANNOT = 0, 1, 2
+# run.sh turns BROKEN into 1 and everything unknown, such as an error of Python, into 2.
+HELD, BROKEN, CANNOT = 0, 41, 2
 MAX_PLAY_S = 115
 AFTER_CALL_MS = 50
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
