--- a/crates/hazelgrade-server/src/protocol/jsonrpc/error.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/error.rs
@@ -1,5 +1,6 @@
 //! Errors in messages from clients, with their JSON-RPC error codes.
 
+use super::request::JobRequest;
 use std::borrow::Cow;
 
 /// JSON-RPC error code: the line is not valid JSON.
@@ -73,7 +74,7 @@
 }
 
 /// A message that is not accepted.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 #[error("{reason}")]
 pub struct RequestError {
     /// The id of the call, if the message has one under which the error can be returned.
@@ -83,11 +84,14 @@
     pub not_served: bool,
     /// Why the message is not accepted.
     pub reason: Reason,
+    /// The job, if the message is valid but for a name that this instance does not serve. Its slots are those that the
+    /// names had before, or the first ones. The job may be a retry of one that ran while the names were served.
+    pub unserved_job: Option<Box<JobRequest>>,
 }
 
 impl RequestError {
     pub(super) fn new(call_id: Option<u64>, reason: Reason) -> RequestError {
-        RequestError { call_id, not_served: false, reason }
+        RequestError { call_id, not_served: false, reason, unserved_job: None }
     }
 }
 
--- a/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
@@ -51,7 +51,8 @@
     pub job: Job,
     /// The input of the run, in base64.
     pub body: Body,
-    /// Identifies a keyed job across retries. For an idempotent job, the subject that the job reads.
+    /// Identifies a keyed job across retries. A request of an idempotent class may have one too, as the class may have
+    /// been another one when the job was first requested.
     pub idempotency_key: Option<String>,
     /// The token that identifies the caller, if the request contains one.
     pub token: Option<String>,
@@ -60,6 +61,12 @@
     pub tenant_name: Option<String>,
 }
 
+/// A decoded job, and why this instance does not admit it under its names, if it doesn't.
+struct DecodedJob {
+    request: JobRequest,
+    unserved: Option<RequestError>,
+}
+
 /// The undecoded parameters of a message.
 struct Params(Map<String, Value>);
 
@@ -108,13 +115,15 @@
         }
     }
 
-    /// Returns the idempotency key of a keyed job, or the subject of an idempotent job. The protocol documentation
-    /// names no field for the key of a keyed job; the field name `opkey` comes from the site's list of names.
+    /// Returns the idempotency key, if there is one. The protocol documentation names no field for it; the field name
+    /// `opkey` comes from the site's list of names. An idempotent job need not have a valid one.
     fn idempotency_key(&mut self, idempotency: Idempotency) -> Result<Option<String>, InvalidField> {
-        match idempotency {
-            Idempotency::Idempotent => self.optional_text("subject", "what a read is about"),
-            _ => self.optional_text("opkey", "the mark of a numbered job"),
+        let key = self.optional_text("opkey", "the mark of a numbered job");
+        if idempotency != Idempotency::Idempotent {
+            return key;
         }
+        self.optional_text("subject", "what a read is about")?;
+        Ok(key.unwrap_or_default())
     }
 
     fn body(&mut self) -> Result<Body, InvalidField> {
@@ -159,8 +168,7 @@
         let token = token.ok_or_else(|| invalid_param(InvalidField::new("token", "a token")))?;
         return Ok(ClientMessage::Hello { call_id, token });
     }
-    let job_class = find_job_class(call_id, &method, settings)?;
-    let request = decode_job(call_id, job_class, &mut params, settings).map_err(invalid_param)?;
+    let request = decode_job(call_id, &method, &mut params, settings)?;
     Ok(ClientMessage::Job(Box::new(request)))
 }
 
@@ -199,32 +207,64 @@
     ClientMessage::Abort { call_id, job_id: job_id.map(JobId::from) }
 }
 
-/// Returns the index of the job class that a method names. The error marks a class that other instances may serve: a
-/// known class that is not in use on this instance, or any class while this instance serves none.
-fn find_job_class(call_id: u64, method: &str, settings: &HostSettings) -> Result<usize, RequestError> {
+/// The slot that a name refers to, and why no new job is admitted under the name, if none is.
+struct NamedSlot {
+    slot: usize,
+    unserved: Option<RequestError>,
+}
+
+impl NamedSlot {
+    fn in_use(slot: usize) -> NamedSlot {
+        NamedSlot { slot, unserved: None }
+    }
+}
+
+/// Finds the job class that a method names. A class that is not in use on this instance any more is found too, as a
+/// retry of a job that ran before may name it. Other instances may serve such a class, or any class while this instance
+/// serves none.
+fn find_job_class(call_id: u64, method: &str, settings: &HostSettings) -> Result<NamedSlot, RequestError> {
+    let error = |not_served| {
+        let error = RequestError::new(Some(call_id), Reason::UnknownMethod);
+        RequestError { not_served, ..error }
+    };
     match settings.job_class(method) {
-        Some(job_class) if job_class.in_use => Ok(job_class.slot),
-        unserved => {
-            let not_served = unserved.is_some() || !settings.serves();
-            let error = RequestError::new(Some(call_id), Reason::UnknownMethod);
-            Err(RequestError { not_served, ..error })
-        }
+        Some(job_class) if job_class.in_use => Ok(NamedSlot::in_use(job_class.slot)),
+        Some(job_class) => Ok(NamedSlot { slot: job_class.slot, unserved: Some(error(true)) }),
+        None => Err(error(!settings.serves())),
     }
 }
 
-/// Decodes the parameters of a job. The error names the first invalid field, so the order of the checks determines the
-/// reported field.
+/// Decodes a job. The error names the first invalid field, so the order of the checks determines the reported field.
 fn decode_job(
+    call_id: u64,
+    method: &str,
+    params: &mut Params,
+    settings: &HostSettings,
+) -> Result<JobRequest, RequestError> {
+    let job_class = find_job_class(call_id, method, settings)?;
+    match decode_job_params(call_id, job_class.slot, params, settings) {
+        Ok(DecodedJob { request, unserved }) => match job_class.unserved.or(unserved) {
+            None => Ok(request),
+            Some(error) => Err(RequestError { unserved_job: Some(Box::new(request)), ..error }),
+        },
+        Err(field) => Err(job_class
+            .unserved
+            .unwrap_or_else(|| RequestError::new(Some(call_id), Reason::InvalidParam(field)))),
+    }
+}
+
+/// Decodes the parameters of a job of this class.
+fn decode_job_params(
     call_id: u64,
     job_class: usize,
     params: &mut Params,
     settings: &HostSettings,
-) -> Result<JobRequest, InvalidField> {
+) -> Result<DecodedJob, InvalidField> {
     let id = params.job_id()?;
     let received_at = params.number("ts", |ts| ts > 0.0 && ts < 1e15, "Unix milliseconds")?;
     params.number("via", |via| via >= 0.0 && via.fract() == 0.0, "a whole number")?;
     let tenant_name = params.optional_text("owner", "a customer of this site")?;
-    let tenant = find_tenant(tenant_name.as_deref(), settings)?;
+    let tenant = find_tenant(call_id, tenant_name.as_deref(), settings)?;
     let is_retry = params.is_retry()?;
     let queued_kb =
         params.number("need", |kb| kb > 0.0 && kb < 2000.0, "kilobytes, above 0 and under 2000")?;
@@ -235,7 +275,7 @@
     let job = Job {
         id: id.into(),
         job_class,
-        tenant,
+        tenant: tenant.slot,
         received_at: Time::from_ms(received_at),
         caller_deadline: None,
         expected_work: None,
@@ -247,18 +287,24 @@
         over_caller_limit: false,
         lease_retry_after: None,
     };
-    Ok(JobRequest { call_id, job, body, idempotency_key, token, tenant_name })
+    let request = JobRequest { call_id, job, body, idempotency_key, token, tenant_name };
+    Ok(DecodedJob { request, unserved: tenant.unserved })
 }
 
-/// Returns the index of a tenant. The name may be absent if no configured tenant has a name or if the caller's rights
-/// determine the tenant.
-fn find_tenant(name: Option<&str>, settings: &HostSettings) -> Result<usize, InvalidField> {
+/// Finds a tenant. The name may be absent if no configured tenant has a name or if the caller's rights determine the
+/// tenant. A name that is not configured may be that of a tenant for whom a job ran before.
+fn find_tenant(call_id: u64, name: Option<&str>, settings: &HostSettings) -> Result<NamedSlot, InvalidField> {
+    let invalid = || InvalidField::new("owner", "a customer of this site");
     let named =
         name.and_then(|name| settings.tenants.iter().position(|tenant| tenant.as_deref() == Some(name)));
-    match named {
-        Some(tenant) => Ok(tenant),
-        None if settings.tenants.iter().all(Option::is_none) => Ok(0),
-        None if name.is_none() && settings.authenticates_callers => Ok(0),
-        None => Err(InvalidField::new("owner", "a customer of this site")),
+    match (named, name) {
+        (Some(tenant), _) => Ok(NamedSlot::in_use(tenant)),
+        (None, _) if settings.tenants.iter().all(Option::is_none) => Ok(NamedSlot::in_use(0)),
+        (None, None) if settings.authenticates_callers => Ok(NamedSlot::in_use(0)),
+        (None, Some(_)) => {
+            let error = RequestError::new(Some(call_id), Reason::InvalidParam(invalid()));
+            Ok(NamedSlot { slot: 0, unserved: Some(error) })
+        }
+        (None, None) => Err(invalid()),
     }
 }
--- a/crates/hazelgrade-server/src/protocol/jsonrpc/response.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/response.rs
@@ -33,6 +33,11 @@
 }
 
 impl Answer {
+    /// Returns whether the answer tells the caller that the job never ran.
+    pub fn says_never_ran(&self) -> bool {
+        matches!(self, Answer::Rejected { .. } | Answer::Denied(_))
+    }
+
     /// Returns the name of the answer for the log.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/hazelgrade-server/src/routing/callers.rs
+++ b/crates/hazelgrade-server/src/routing/callers.rs
@@ -172,7 +172,8 @@
     }
 }
 
-/// Maps the names of job classes and tenants to their indexes in the settings.
+/// Maps the names of job classes and tenants to their indexes in the settings. A job class that is not in use any more
+/// is included: the retry of a job that ran before may name it.
 struct NameIndexes<'a> {
     job_classes: BTreeMap<&'a str, usize>,
     tenants: BTreeMap<&'a str, usize>,
@@ -180,7 +181,7 @@
 
 impl NameIndexes<'_> {
     fn new(settings: &HostSettings) -> NameIndexes<'_> {
-        let job_classes = settings.job_classes.iter().enumerate().filter(|(_, job_class)| job_class.in_use);
+        let job_classes = settings.job_classes.iter().enumerate();
         let tenants = settings.tenants.iter().enumerate();
         NameIndexes {
             job_classes: job_classes.map(|(index, job_class)| (job_class.name.as_str(), index)).collect(),
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -8,13 +8,14 @@
 use super::in_flight::{JobFingerprint, Responder};
 use super::job;
 use super::result_cache::{JobKey, JobOwner};
-use crate::protocol::jsonrpc::{self, Answer, ClientMessage, JobRequest};
+use crate::protocol::jsonrpc::{self, Answer, ClientMessage, JobRequest, RequestError};
 use crate::transport::clients::{Accepting, ClientConnection, ClientConnections, EndedConnection};
 use crate::transport::listener::AcceptedConnection;
 use crate::transport::tls::Tls;
 use async_executor::LocalExecutor;
 use hazelgrade::api::{Idempotency, JobId};
 use hazelgrade::time::{Span, Time};
+use hazelgrade_identity::DenyReason;
 use hazelgrade_identity::authenticator::Credentials;
 use hazelgrade_net::connection_end::ConnectionEnd;
 use refusals::REJECTED;
@@ -76,32 +77,68 @@
     async fn handle_line(&self, connection: &Rc<ClientConnection<JobId>>, caller: &Caller, line: &[u8]) {
         let settings = self.context.settings.borrow().clone();
         match jsonrpc::decode(line, &settings) {
-            Ok(ClientMessage::Job(request)) => self.handle_job(connection, caller, *request).await,
+            Ok(ClientMessage::Job(request)) => self.handle_job(connection, caller, *request, None).await,
             Ok(ClientMessage::Abort { call_id, job_id }) => self.handle_abort(connection, call_id, job_id),
             Ok(ClientMessage::Hello { call_id, token }) => {
                 self.handle_hello(connection, caller, call_id, &token);
             }
             Ok(ClientMessage::HealthCheck { call_id }) => self.handle_health_check(connection, call_id),
-            Err(error) => self.handle_invalid_message(connection, &error),
+            Err(mut error) => match error.unserved_job.take() {
+                Some(request) => self.handle_job(connection, caller, *request, Some(&error)).await,
+                None => self.handle_invalid_message(connection, &error),
+            },
         }
     }
 
-    /// Authorizes the caller of a job, and admits or denies the job.
+    /// Authorizes the caller of a job, and admits or denies the job. With `unserved`, the job is admitted only if it is a
+    /// retry of a known job: what a retry is known by is the same in all versions of the configuration.
     async fn handle_job(
         &self,
         connection: &Rc<ClientConnection<JobId>>,
         caller: &Caller,
         mut request: JobRequest,
+        unserved: Option<&RequestError>,
     ) {
+        if let Some(error) = unserved
+            && !self.is_known_retry(&request)
+        {
+            return self.handle_invalid_message(connection, error);
+        }
         if !connection.wait_for_free_call(self.free_call_deadline(&request)).await {
             return self.reject_without_free_call(connection, &request);
         }
+        if self.context.callers.is_enabled() && !self.is_tenant_resolved(&request) {
+            return self.deny(connection, &request, DenyReason::TenantNotAllowed);
+        }
         match self.context.callers.authorize(&self.context.driver.clock, caller, &mut request) {
             Ok(()) => self.admit(connection, request),
             Err(reason) => self.deny(connection, &request, reason),
         }
     }
 
+    /// Returns whether the tenant that a request names, if it names one, is the one in the slot by which its caller is
+    /// authorized.
+    fn is_tenant_resolved(&self, request: &JobRequest) -> bool {
+        let settings = self.context.settings.borrow();
+        let configured = settings.tenants.get(request.job.tenant).and_then(Option::as_deref);
+        request.tenant_name.is_none() || request.tenant_name.as_deref() == configured
+    }
+
+    /// Returns the key under which the tries of a job are known; `None` if the request has no idempotency key.
+    fn job_key(&self, request: &JobRequest) -> Option<JobKey> {
+        let idempotency_key = request.idempotency_key.as_deref()?;
+        Some(self.context.result_cache.job_key(self.owner(request), idempotency_key, &request.body))
+    }
+
+    /// Returns whether another try of the same job may have run within its window, is running, or may still start. No
+    /// answer may then say that the job never ran.
+    fn is_known_retry(&self, request: &JobRequest) -> bool {
+        let clock = &self.context.driver.clock;
+        let received_at = clock.time_of_stamp(request.job.received_at).unwrap_or_else(|| clock.now());
+        let key = self.job_key(request);
+        key.is_some_and(|key| self.context.result_cache.original(&key, received_at).is_some())
+    }
+
     /// Returns until when a job may stay unread because its connection has the maximum number of open calls.
     fn free_call_deadline(&self, request: &JobRequest) -> Instant {
         let clock = &self.context.driver.clock;
@@ -150,24 +187,24 @@
         if connection.open_call(call_id).is_some() {
             return self.answer_violation(connection, &jsonrpc::call_id_in_use());
         }
-        let owner = self.owner(&request);
-        let fingerprint = JobFingerprint::new(&request, owner.clone());
+        let fingerprint = JobFingerprint::new(&request, self.owner(&request));
         if self.answer_if_in_flight(connection, &request, &fingerprint) {
             return;
         }
         let Some(received_at) = context.driver.clock.time_of_stamp(request.job.received_at) else {
             return self.answer_invalid_time(connection, &request);
         };
-        let (deadline, is_keyed) = {
+        let (deadline, is_idempotent) = {
             let settings = context.settings.borrow();
             let job_class = &settings.job_classes[request.job.job_class];
-            (job_class.deadline, job_class.idempotency != Idempotency::Idempotent)
+            (job_class.deadline, job_class.idempotency == Idempotency::Idempotent)
         };
         if !self.check_age(connection, &request, received_at, deadline) {
             return;
         }
-        let idempotency_key = request.idempotency_key.take().filter(|_| is_keyed);
-        let key = idempotency_key.map(|key| context.result_cache.job_key(owner, &key, &request.body));
+        let is_original = |key: &JobKey| context.result_cache.original(key, received_at).is_none();
+        // An idempotent job may run again, unless it is a retry of one that was promised to run once.
+        let key = self.job_key(&request).filter(|key| !(is_idempotent && is_original(key)));
         if self.answer_if_finished(connection, &request, key.as_ref()) {
             return;
         }
--- a/crates/hazelgrade-server/src/routing/front_end/refusals.rs
+++ b/crates/hazelgrade-server/src/routing/front_end/refusals.rs
@@ -26,6 +26,20 @@
         }
     }
 
+    /// Sends the answer to a job that is not admitted. If another try of the job may have run or may still run, the
+    /// answer is a failure: a rejection or a denial would say that the job never ran, and its caller could send it to
+    /// another instance.
+    pub(super) fn answer_unadmitted(
+        &self,
+        connection: &ClientConnection<JobId>,
+        request: &JobRequest,
+        answer: &Answer,
+    ) {
+        let is_untrue = answer.says_never_ran() && self.is_known_retry(request);
+        let answer = if is_untrue { &Answer::Failed } else { answer };
+        self.answer(connection, request.call_id, answer);
+    }
+
     /// Sends an answer to a call that was not admitted.
     pub(super) fn answer(&self, connection: &ClientConnection<JobId>, call_id: u64, answer: &Answer) {
         connection.send(&jsonrpc::encode(call_id, answer, self.context.driver.load_signal()));
@@ -43,7 +57,7 @@
             counters.denied += 1;
             counters.unverified += u64::from(reason.suggests_wrong_policy());
         }
-        self.answer(connection, request.call_id, &Answer::Denied(reason.message()));
+        self.answer_unadmitted(connection, request, &Answer::Denied(reason.message()));
         self.log_rejected(connection, &request.job.id, Span::ZERO, UnservedCause::Denied);
         // Denials count as rejections: a connection with many rejections, none of whose jobs has run, is read slowly.
         self.context.count_rejection(connection);
@@ -75,7 +89,7 @@
         counters.rejected += 1;
         counters.expired_unread += 1;
         drop(counters);
-        self.answer(connection, request.call_id, &REJECTED);
+        self.answer_unadmitted(connection, request, &REJECTED);
         self.log_rejected(connection, &request.job.id, unread, UnservedCause::ExpiredUnread);
         self.context.count_rejection(connection);
     }
@@ -97,7 +111,7 @@
         request: &JobRequest,
     ) {
         self.context.counters.borrow_mut().rejected += 1;
-        self.answer(connection, request.call_id, &REJECTED);
+        self.answer_unadmitted(connection, request, &REJECTED);
         self.log_rejected(connection, &request.job.id, Span::ZERO, UnservedCause::NoFreeCall);
         self.context.count_rejection(connection);
     }
@@ -109,7 +123,7 @@
         request: &JobRequest,
         answer: &Answer,
     ) {
-        self.answer(connection, request.call_id, answer);
+        self.answer_unadmitted(connection, request, answer);
         self.context.event_log.violation(
             connection.number,
             Some(request.call_id),
--- a/crates/hazelgrade-server/src/routing/result_cache.rs
+++ b/crates/hazelgrade-server/src/routing/result_cache.rs
@@ -88,6 +88,14 @@
 }
 
 impl Tables {
+    /// Returns the job of which a job with this key that was received at this time is a retry.
+    fn original(&self, key: &JobKey, received_at: Time) -> Option<JobId> {
+        let record = self.records.get(key).filter(|record| record.expires_at > received_at);
+        let is_original = |id: &&JobId| self.jobs.get(*id).is_some_and(|job| !job.awaits_original);
+        let in_flight = || self.in_flight.get(key).and_then(|ids| ids.iter().find(is_original));
+        record.map(|record| &record.id).or_else(in_flight).cloned()
+    }
+
     /// Adds a job that has ended.
     fn add_finished(&mut self, id: &JobId, removed_at: Time) {
         let bytes = self.jobs.get(id).map_or(0, KeyedJob::result_bytes);
@@ -184,6 +192,12 @@
         Some(FinishedJob { key: job.key.clone(), result: job.result.clone().flatten() })
     }
 
+    /// Returns the job of which a job with this key would be a retry: one whose record has not expired at `received_at`,
+    /// or one that is in flight.
+    pub fn original(&self, key: &JobKey, received_at: Time) -> Option<JobId> {
+        self.tables.borrow().original(key, received_at)
+    }
+
     /// Adds a keyed job whose id is not in use, and returns its original job if the job is a retry of a known one. A
     /// retry may stay unread for `max_unread_time`.
     pub fn arrived(
@@ -194,10 +208,7 @@
         max_unread_time: Span,
     ) -> Option<JobId> {
         let mut tables = self.tables.borrow_mut();
-        let record = tables.records.get(&key).filter(|record| record.expires_at > received_at);
-        let is_original = |id: &&JobId| tables.jobs.get(*id).is_some_and(|job| !job.awaits_original);
-        let in_flight = || tables.in_flight.get(&key).and_then(|ids| ids.iter().find(is_original));
-        let original = record.map(|record| &record.id).or_else(in_flight).cloned();
+        let original = tables.original(&key, received_at);
         tables.in_flight.entry(key.clone()).or_default().push(id.clone());
         let job = KeyedJob {
             key,
--- a/crates/hazelgrade-server/tests/identity/main.rs
+++ b/crates/hazelgrade-server/tests/identity/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::expect_used, clippy::panic)]
 
+mod retries;
 mod tls;
 
 use hazelgrade_config::Document;
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -12,5 +12,6 @@
 mod input;
 mod log;
 mod process;
+mod retries;
 mod serving;
 mod system_calls;
--- a/crates/hazelgrade-server/tests/recorded_messages.rs
+++ b/crates/hazelgrade-server/tests/recorded_messages.rs
@@ -184,7 +184,7 @@
 
 #[test]
 fn a_job_with_every_field_is_read() {
-    for (job_class, class_index, key) in [("read", 0, "s1"), ("book", 1, "k1")] {
+    for (job_class, class_index) in [("read", 0), ("book", 1)] {
         for authenticates_callers in [false, true] {
             let decoded =
                 jsonrpc::decode(job_line(job_class).as_bytes(), &host_settings(authenticates_callers));
@@ -193,7 +193,7 @@
             assert_eq!((request.job.tenant, request.tenant_name.as_deref()), (0, Some("acme")));
             assert_eq!((request.job.received_at.as_ms(), request.job.queued_kb), (1000.5, 12.5));
             assert_eq!((request.job.priority_rank, request.job.is_retry), (0.5, true));
-            assert_eq!((&*request.body, request.idempotency_key.as_deref()), ("aGk=", Some(key)));
+            assert_eq!((&*request.body, request.idempotency_key.as_deref()), ("aGk=", Some("k1")));
             assert_eq!(request.token.as_deref(), authenticates_callers.then_some("t1"));
         }
     }
--- a/crates/hazelgrade-server/tests/streaming/main.rs
+++ b/crates/hazelgrade-server/tests/streaming/main.rs
@@ -15,7 +15,7 @@
 use hazelgrade_fakes::executor::{Executor, Workload};
 use hazelgrade_fakes::node_process::{NodeConfig, NodeProcess};
 use hazelgrade_fakes::registry::Registry;
-use hazelgrade_fakes::{free_address, test_environment};
+use hazelgrade_fakes::{free_address, test_environment, wait_until};
 use hazelgrade_stream::protocol::{Rejection, SubscriberMessage};
 use std::path::Path;
 use std::time::Duration;
--- a/crates/hazelgrade-server/tests/streaming/names.rs
+++ b/crates/hazelgrade-server/tests/streaming/names.rs
@@ -14,6 +14,12 @@
 const KEYED: &str = "goal_ms = 1000\ncut_off_ms = 3000\nrepeats = \"numbered\"\nwindow_ms = 60000\n";
 /// The same class, whose jobs must not be sent again.
 const AT_MOST_ONCE: &str = "goal_ms = 1000\ncut_off_ms = 3000\nrepeats = \"at-most-once\"\n";
+/// The same class, whose jobs may run again at any time.
+const IDEMPOTENT: &str = "goal_ms = 1000\ncut_off_ms = 3000\nrepeats = \"reissuable\"\n";
+/// How long a test waits for the start of a run.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// JSON-RPC error code of an answer that says that the job never ran.
+const REJECTED: i64 = -32066;
 
 /// Returns a document with these tenants and without the class "order".
 fn without_order(tenants: &[&str]) -> Document {
@@ -42,12 +48,20 @@
 
     /// Sends a job of the class "order" under the key "k1", and returns its answer.
     fn order(&mut self, id: &str, tenant: &str) -> Value {
+        self.send_order(id, tenant, "k1");
+        self.answer()
+    }
+
+    fn send_order(&mut self, id: &str, tenant: &str, key: &str) {
         self.last_call += 1;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time is after 1970");
         let request = json!({"jsonrpc": "2.0", "id": self.last_call, "method": "order", "params": {
-            "req": id, "ts": unix.as_millis() as u64, "via": 1, "owner": tenant, "opkey": "k1", "resent": 1,
+            "req": id, "ts": unix.as_millis() as u64, "via": 1, "owner": tenant, "opkey": key, "resent": 1,
             "need": 12.5, "level": 0.5, "body": "aGVsbG8="}});
         self.connection.get_mut().write_all(format!("{request}\n").as_bytes()).expect("the request is sent");
+    }
+
+    fn answer(&mut self) -> Value {
         let mut line = String::new();
         self.connection.read_line(&mut line).expect("the job is answered in time");
         serde_json::from_str(&line).expect("the answer is JSON")
@@ -59,7 +73,7 @@
 #[test]
 fn a_keyed_job_that_has_run_is_answered_with_its_result_after_each_change_of_names_and_kind() {
     let with = |tenants: &[&str]| document_with(KEYED, tenants);
-    let changes: [(&str, &str, Vec<Document>); 7] = [
+    let changes: [(&str, &str, Vec<Document>); 11] = [
         ("tenants go", "north", vec![with(&["east", "north"]), with(&[])]),
         ("tenants come", "north", vec![with(&[]), with(&["east", "north"])]),
         (
@@ -83,6 +97,14 @@
             "north",
             vec![with(&["north"]), without_order(&["north"]), with(&["north"])],
         ),
+        ("the class goes", "north", vec![with(&["north"]), without_order(&["north"])]),
+        ("the tenant goes", "north", vec![with(&["east", "north"]), with(&["east"])]),
+        ("the class and the tenant go", "north", vec![with(&["east", "north"]), without_order(&["east"])]),
+        (
+            "the class gets idempotent jobs",
+            "north",
+            vec![with(&["north"]), document_with(IDEMPOTENT, &["north"])],
+        ),
     ];
     for (change, tenant, versions) in changes {
         let environment = TestEnvironment::new(FAST_WORKLOAD);
@@ -104,6 +126,54 @@
     }
 }
 
+/// Guards against telling the caller of a keyed job that the job never ran, while its first try runs, because a later
+/// version lacks its names or has it as an idempotent job.
+#[test]
+fn a_retry_of_a_running_keyed_job_gets_its_result_after_each_change_of_names_and_kind() {
+    let slow = Workload { job_duration: Duration::from_millis(700), ..FAST_WORKLOAD };
+    let changes = [
+        ("the class goes", without_order(&["east", "north"])),
+        ("the tenant goes", document_with(KEYED, &["east"])),
+        ("both go", without_order(&["east"])),
+        ("the class gets idempotent jobs", document_with(IDEMPOTENT, &["east", "north"])),
+        ("the class gets at-most-once jobs", document_with(AT_MOST_ONCE, &["east", "north"])),
+    ];
+    for (change, version) in changes {
+        let environment = TestEnvironment::new(slow);
+        let node = environment.node(SHORT_TRIAL);
+        let (mut subscriber, _) = environment.subscriber();
+        complete_trial(&mut subscriber, 1, &document_with(KEYED, &["east", "north"]));
+        let mut caller = Caller::connect(&node);
+        let mut others = Caller::connect(&node);
+        caller.send_order("try1", "north", "k1");
+        assert!(wait_until(START_TIMEOUT, || environment.executor.runs().contains_key("try1")), "{change}");
+        complete_trial(&mut subscriber, 2, &version);
+        let answer = others.order("try2", "north");
+        assert_eq!(answer["result"]["body"], RESULT, "{change}: {answer}");
+        assert_eq!(caller.answer()["result"]["body"], RESULT, "{change}");
+        assert!(!environment.executor.runs().contains_key("try2"), "{change}");
+    }
+}
+
+/// Guards against running a job that no version in effect serves, because a retry of another job would be answered.
+#[test]
+fn a_job_that_never_ran_is_rejected_while_no_version_serves_its_class() {
+    let environment = TestEnvironment::new(FAST_WORKLOAD);
+    let node = environment.node(SHORT_TRIAL);
+    let (mut subscriber, _) = environment.subscriber();
+    let mut caller = Caller::connect(&node);
+    complete_trial(&mut subscriber, 1, &document_with(KEYED, &["north"]));
+    assert_eq!(caller.order("try1", "north")["result"]["body"], RESULT);
+    complete_trial(&mut subscriber, 2, &without_order(&["north"]));
+    caller.send_order("other", "north", "k2");
+    assert_eq!(caller.answer()["error"]["code"], REJECTED);
+    caller.send_order("foreign", "east", "k1");
+    assert_eq!(caller.answer()["error"]["code"], REJECTED);
+    assert_eq!(caller.order("try2", "north")["result"]["body"], RESULT);
+    let runs: Vec<String> = environment.executor.runs().into_keys().collect();
+    assert_eq!(runs, ["try1"]);
+}
+
 /// Guards against taking jobs of two tenants, or of two classes, for one because no tenant is configured.
 #[test]
 fn the_same_key_of_another_tenant_is_another_job_also_where_no_tenant_is_configured() {
--- a/crates/hazelgrade/src/controller/admission.rs
+++ b/crates/hazelgrade/src/controller/admission.rs
@@ -34,23 +34,14 @@
         self.reject_if_call_queue_full(now, id, decisions);
     }
 
-    /// Links a retry to its original job, and returns whether the job was linked. What counts is that the original may
-    /// have run, not whether the class had idempotency keys then: a new version of the settings may change that.
+    /// Links a retry to its original job, and returns whether the job was linked.
     fn link_to_original(&mut self, now: Time, id: &JobId, decisions: &mut dyn Decisions) -> bool {
         let Some(tracked) = self.jobs.get(id) else { return false };
-        if tracked.class.idempotency == Idempotency::Idempotent {
-            return false;
-        }
         if tracked.class.idempotency == Idempotency::Keyed {
             self.records.remove_outdated(now);
         }
-        // Two jobs that were read in one batch may each name the other as the original. The one that was read first is
-        // admitted: a keyed one has its record before the other one is decided, an at-most-once one has no record.
-        let is_at_most_once = tracked.class.idempotency == Idempotency::AtMostOnce;
-        let was_read_before = |prior: &TrackedJob| is_at_most_once && prior.sequence < tracked.sequence;
-        let is_original =
-            |prior: &JobId| self.records.contains(prior) || self.jobs.get(prior).is_none_or(was_read_before);
-        let is_retry = tracked.job.retry_of.as_ref().is_some_and(is_original);
+        let is_retry =
+            tracked.job.retry_of.as_ref().is_some_and(|original| self.is_retry_of(tracked, original));
         if is_retry {
             decisions.await_original(id);
             self.enter(now, id, Stage::AwaitingOriginal);
@@ -58,6 +49,25 @@
         is_retry
     }
 
+    /// Returns whether a job must not run because it repeats `original`. What counts is what the original was promised
+    /// when it was admitted: a new version of the settings may have changed the class since.
+    fn is_retry_of(&self, tracked: &TrackedJob, original: &JobId) -> bool {
+        if self.records.contains(original) {
+            return true;
+        }
+        // Two jobs that were read in one batch may each name the other as the original. The one that was read first is
+        // admitted: a keyed one has its record before the other one is decided, an at-most-once one has no record.
+        let was_read_before = |original: &TrackedJob| original.sequence < tracked.sequence;
+        let original = self.jobs.get(original);
+        match tracked.class.idempotency {
+            Idempotency::Keyed => original.is_none(),
+            Idempotency::AtMostOnce => original.is_none_or(was_read_before),
+            Idempotency::Idempotent => original.is_some_and(|original| {
+                original.class.idempotency != Idempotency::Idempotent && was_read_before(original)
+            }),
+        }
+    }
+
     /// Stores an idempotency record for a new keyed job. Returns whether the admission of the job is still to be decided,
     /// which is always so for jobs of other classes.
     fn record_keyed(&mut self, now: Time, id: &JobId, decisions: &mut dyn Decisions) -> bool {
--- a/crates/hazelgrade/src/rejection.rs
+++ b/crates/hazelgrade/src/rejection.rs
@@ -2,7 +2,7 @@
 //! sent at once, so that the caller still has time to try another server.
 
 use crate::api::Idempotency;
-use crate::job_table::TrackedJob;
+use crate::job_table::{Stage, TrackedJob};
 use crate::statistics::DecayingSum;
 use crate::time::{Span, Time};
 
@@ -31,7 +31,10 @@
 /// ran.
 pub(crate) fn may_reject(tracked: &TrackedJob, may_duplicate_run: bool) -> bool {
     let may_have_run = tracked.has_run || tracked.job.retry_of.is_some() || may_duplicate_run;
-    tracked.class.idempotency == Idempotency::Idempotent || !may_have_run
+    // An idempotent job that awaits its original repeats a job that was not idempotent when it was admitted.
+    let may_run_again =
+        tracked.class.idempotency == Idempotency::Idempotent && tracked.stage != Stage::AwaitingOriginal;
+    may_run_again || !may_have_run
 }
 
 /// Returns the time after which a rejected job may be sent again: `base`, spread by `random` (from 0 inclusive to 1
