Messages that owe no answer to a job are read at a bounded rate

Cause: only rejected jobs throttled a connection, and only one on which no job had run. Health checks, hellos and aborts counted as nothing. One connection is enough, and aborts have no answers, so neither the number of connections nor the cost of answers explains it.

Change: an allowance of 128 messages and 64 a second for each connection; past it, the rate that all throttled connections share (5,000 a second, a pause of 25 ms at most). Aborts of open calls do not count.

--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -157,13 +157,15 @@
         job_id: Option<JobId>,
     ) {
         let by_call = call_id.and_then(|call_id| connection.open_call(call_id));
-        if let Some(id) = job_id.filter(|id| connection.has_open(id)).or(by_call) {
-            self.context.caller_disconnected(&id);
+        match job_id.filter(|id| connection.has_open(id)).or(by_call) {
+            Some(id) => self.context.caller_disconnected(&id),
+            None => connection.count_jobless_message(),
         }
     }
 
     /// Authenticates the caller of a connection, and answers with the caller's name or the reason of the denial.
     fn handle_hello(&self, connection: &ClientConnection<JobId>, caller: &Caller, call_id: u64, token: &str) {
+        connection.count_jobless_message();
         let authenticated = self.context.callers.authenticate(&self.context.driver.clock, caller, token);
         if let Err(reason) = authenticated {
             self.record_failed_hello(connection, call_id, reason);
--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -1,6 +1,7 @@
 //! State of one client connection: its open calls, whether its peer is trusted, and what the reader is waiting for.
 
 use super::activity::{Activity, ConnectionSummary};
+use super::allowance::MessageAllowance;
 use super::call_limit::PooledCalls;
 use super::throttle::SharedThrottle;
 use async_io::Timer;
@@ -33,6 +34,9 @@
     pub number: u64,
     pub(super) activity: Activity,
     pub(super) throttle: Rc<SharedThrottle>,
+    allowance: MessageAllowance,
+    /// Length of the message that is being handled, in bytes.
+    pub(super) message_bytes: Cell<usize>,
     pub(super) write_queue: Rc<WriteQueue>,
     open_calls: RefCell<BTreeMap<u64, T>>,
     pooled_calls: PooledCalls,
@@ -72,6 +76,8 @@
             number,
             activity: Activity::new(),
             throttle,
+            allowance: MessageAllowance::new(Instant::now()),
+            message_bytes: Cell::new(0),
             write_queue: Rc::new(WriteQueue::new(WRITE_QUEUE_BYTES)),
             open_calls: RefCell::default(),
             pooled_calls,
@@ -178,6 +184,7 @@
 
     /// Counts a health check requested by the peer.
     pub fn count_health_check(&self) {
+        self.count_jobless_message();
         self.activity.health_checks.set(self.activity.health_checks.get().saturating_add(1));
     }
 
@@ -198,14 +205,22 @@
         self.is_throttled() && !was_throttled
     }
 
+    /// Counts the message that is being handled as one that owes no answer to a job.
+    pub fn count_jobless_message(&self) {
+        self.allowance.take(Instant::now(), self.message_bytes.get());
+    }
+
     /// Returns whether the connection is throttled: it is untrusted, and more than [`MAX_UNTHROTTLED_REJECTIONS`] of
-    /// its jobs were rejected. All throttled connections together are read at a limited rate.
+    /// its jobs were rejected, or it has sent too many messages that are no jobs. All throttled connections together are
+    /// read at a limited rate.
     pub(super) fn is_throttled(&self) -> bool {
-        !self.trusted.get() && self.activity.rejections.get() > MAX_UNTHROTTLED_REJECTIONS
+        let is_rejected = !self.trusted.get() && self.activity.rejections.get() > MAX_UNTHROTTLED_REJECTIONS;
+        is_rejected || self.allowance.is_exhausted(Instant::now())
     }
 
     /// Counts an invalid message. After more than [`MAX_VIOLATIONS`] the connection is not read any more.
     pub fn count_violation(&self) {
+        self.count_jobless_message();
         self.activity.violations.set(self.activity.violations.get().saturating_add(1));
         self.calls_changed.notify();
         self.close_requested.notify();
--- a/crates/hazelgrade-server/src/transport/clients/mod.rs
+++ b/crates/hazelgrade-server/src/transport/clients/mod.rs
@@ -3,6 +3,7 @@
 //! has run. A trusted connection may have more open calls and is evicted last when the limit on connections is reached.
 
 mod activity;
+mod allowance;
 mod call_limit;
 mod connection;
 mod eviction;
@@ -11,6 +12,7 @@
 mod throttle;
 
 pub use activity::ConnectionSummary;
+pub use allowance::MessageAllowance;
 pub use call_limit::{CallPool, MAX_OPEN_CALLS, PooledCalls};
 pub use connection::ClientConnection;
 pub use table::{Accepting, ClientConnections, EndedConnection};
--- a/crates/hazelgrade-server/src/transport/clients/reader.rs
+++ b/crates/hazelgrade-server/src/transport/clients/reader.rs
@@ -74,6 +74,7 @@
             self.activity.messages.set(self.activity.messages.get() + 1);
             self.message_started.set(None);
             self.close_reason.set(None);
+            self.message_bytes.set(line.len());
             on_line(&line).await;
             if self.has_too_many_violations() {
                 return ConnectionEnd::ProtocolViolation;
--- a/crates/hazelgrade-server/tests/instance/honest_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -108,6 +108,53 @@
     answers
 }
 
+/// Guards against a client that takes the whole processor with messages that owe no answer to a job: health checks, and
+/// aborts of jobs that it never sent. They are read at a bounded rate, and the health checks of others are not delayed.
+#[test]
+fn health_checks_and_aborts_of_unknown_jobs_at_full_speed_are_read_at_a_bounded_rate() {
+    let check = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"ping\"}\n";
+    let abort = "{\"jsonrpc\":\"2.0\",\"method\":\"abort\",\"params\":{\"req\":\"never\"}}\n";
+    for (aborts_per_check, checks_per_write) in [(0, 50), (24, 2)] {
+        let lines = format!("{}{check}", abort.repeat(aborts_per_check)).repeat(checks_per_write);
+        let instance = Instance::start();
+        let (mut link, mut trusted) = instance.ready();
+        trusted.send(&job(1, "read", "a1"));
+        assert_eq!(link.command()["handle"], "a1");
+        link.send(&json!({"event": "EXIT", "cursor": 1, "handle": "a1", "fate": "good", "lasted": 9, "arg": "b25l"}));
+        assert!(trusted.receive()["result"].is_object());
+        let mut other = instance.client();
+        let started_at = Instant::now();
+        let mut writer = trusted.stream().try_clone().expect("the connection is open");
+        let flood =
+            std::thread::spawn(
+                move || while std::io::Write::write_all(&mut writer, lines.as_bytes()).is_ok() {},
+            );
+        let (mut checks, mut longest) = (0_u32, Duration::ZERO);
+        while started_at.elapsed() < FLOOD {
+            assert_eq!(trusted.receive()["result"]["up"], true);
+            checks += 1;
+            if checks.is_multiple_of(256) {
+                let sent_at = Instant::now();
+                other.check(1);
+                longest = longest.max(sent_at.elapsed());
+            }
+        }
+        let limit = MAX_JOBLESS_PER_S * started_at.elapsed().as_secs_f64() + MAX_JOBLESS_BURST;
+        let messages = f64::from(checks) * (aborts_per_check + 1) as f64;
+        assert!(messages <= limit, "{messages} messages were read, at most {limit}");
+        assert!(longest < Duration::from_millis(500), "a health check took {longest:?}");
+        let _ = trusted.stream().shutdown(std::net::Shutdown::Both);
+        flood.join().expect("the flood ran");
+    }
+}
+
+/// How long a client floods the instance.
+const FLOOD: Duration = Duration::from_millis(1500);
+/// Messages per second that are read on all throttled connections together.
+const MAX_JOBLESS_PER_S: f64 = 5_000.0;
+/// Messages without a job that a connection may send before it is throttled, with those that grow in [`FLOOD`].
+const MAX_JOBLESS_BURST: f64 = 256.0;
+
 /// Guards against leaving jobs unread behind others that wait for much longer than their own deadline.
 #[test]
 fn jobs_behind_sixteen_open_ones_on_a_new_connection_are_answered_by_their_own_deadline() {
