Decoding a line from a client stores only the members that a message has

Cause: each line became a tree of all its values, up to 20 times its length in memory, before anything of it was looked at.

Change: known members are stored, the rest is checked to be JSON and skipped; nested values of known members are stored without their content. Errors and their order are those recorded.

--- a/crates/hazelgrade-server/src/protocol/jsonrpc/mod.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/mod.rs
@@ -2,6 +2,7 @@
 //! encodes the answers.
 
 mod error;
+mod message;
 mod request;
 mod response;
 
--- a/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
@@ -1,6 +1,7 @@
 //! Decodes messages from clients.
 
 use super::error::{InvalidField, Reason, RequestError};
+use super::message::{Message, Object};
 use crate::protocol::{Body, is_body};
 use hazelgrade::api::{Idempotency, Job, JobId};
 use hazelgrade::time::Time;
@@ -173,24 +174,25 @@
 }
 
 fn decode_request(line: &[u8]) -> Result<Request, RequestError> {
-    let value: Value = serde_json::from_slice(line).map_err(|_| RequestError::new(None, Reason::NotJson))?;
-    let Value::Object(mut message) = value else {
+    let message: Object<Message> =
+        serde_json::from_slice(line).map_err(|_| RequestError::new(None, Reason::NotJson))?;
+    let Object(Some(message)) = message else {
         return Err(RequestError::new(None, Reason::NotAnObject));
     };
-    let call_id = message.get("id").and_then(Value::as_u64);
+    let call_id = message.id.as_u64();
     let invalid = |field, expected: &'static str| {
         RequestError::new(call_id, Reason::InvalidRequest(InvalidField::new(field, expected)))
     };
-    if message.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
+    if message.jsonrpc.as_str() != Some("2.0") {
         return Err(invalid("jsonrpc", "\"2.0\""));
     }
-    let Some(Value::String(method)) = message.remove("method") else {
+    let Value::String(method) = message.method else {
         return Err(invalid("method", "a word"));
     };
-    let params = match message.remove("params") {
-        Some(Value::Object(params)) => Params(params),
+    let params = match message.params {
+        Some(Object(Some(params))) => Params(params.0),
         None => Params(Map::new()),
-        Some(_) => {
+        Some(Object(None)) => {
             let field = InvalidField::new("params", "an object");
             return Err(RequestError::new(call_id, Reason::InvalidParam(field)));
         }
