--- a/crates/hazelgrade-server/src/program/drain.rs
+++ b/crates/hazelgrade-server/src/program/drain.rs
@@ -116,7 +116,7 @@
         );
         context.driver.start_rounds();
         context.driver.notify(ControllerEvent::DrainStarted(stop_at));
-        self.front_end.connections.broadcast(jsonrpc::DRAINING);
+        self.front_end.connections.start_drain(jsonrpc::DRAINING);
     }
 
     async fn wait_for_clients_to_leave(&self) {
--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -212,10 +212,10 @@
 
     /// Returns whether the connection is throttled: it is untrusted, and more than [`MAX_UNTHROTTLED_REJECTIONS`] of
     /// its jobs were rejected, or it has sent too many messages that are no jobs. All throttled connections together are
-    /// read at a limited rate.
+    /// read at a limited rate. In a drain only rejections count.
     pub(super) fn is_throttled(&self) -> bool {
         let is_rejected = !self.trusted.get() && self.activity.rejections.get() > MAX_UNTHROTTLED_REJECTIONS;
-        is_rejected || self.allowance.is_exhausted(Instant::now())
+        is_rejected || (self.allowance.is_exhausted(Instant::now()) && !self.throttle.is_draining())
     }
 
     /// Counts an invalid message. After more than [`MAX_VIOLATIONS`] the connection is not read any more.
--- a/crates/hazelgrade-server/src/transport/clients/table.rs
+++ b/crates/hazelgrade-server/src/transport/clients/table.rs
@@ -110,6 +110,13 @@
         self.connections.borrow().values().for_each(|connection| connection.send(message));
     }
 
+    /// Sends the notice of a drain to all clients. From now on no connection waits for its allowance of messages, so that
+    /// everything that was received is read before the stop.
+    pub fn start_drain(&self, notice: &str) {
+        self.throttle.start_drain();
+        self.broadcast(notice);
+    }
+
     /// Returns whether nothing is outstanding on any connection and no connection is being accepted.
     pub fn all_idle(&self) -> bool {
         let connections = self.connections.borrow();
--- a/crates/hazelgrade-server/src/transport/clients/throttle.rs
+++ b/crates/hazelgrade-server/src/transport/clients/throttle.rs
@@ -17,12 +17,23 @@
 pub struct SharedThrottle {
     /// When the next message may be read.
     next_at: Cell<Instant>,
+    draining: Cell<bool>,
 }
 
 impl SharedThrottle {
     /// Creates a rate of which nothing is used at `now`.
     pub fn new(now: Instant) -> SharedThrottle {
-        SharedThrottle { next_at: Cell::new(now) }
+        SharedThrottle { next_at: Cell::new(now), draining: Cell::new(false) }
+    }
+
+    /// Records that the instance drains.
+    pub(super) fn start_drain(&self) {
+        self.draining.set(true);
+    }
+
+    /// Returns whether the instance drains: then everything that was received has to be read before the stop.
+    pub(super) fn is_draining(&self) -> bool {
+        self.draining.get()
     }
 
     /// Reserves the next message for the caller, and returns for how long the caller has to pause before it.
