Jobs of a client that has left are neither started nor left running

Cause: bytes that came before a reset or a close are read first, and an end of file counted as the end of sending only. Excluded: a race between the close and the command (in the test the node stands still until the client has left) and the handling of a known reset (which cancels).

Change: before a message is handled, poll(2) tells whether the peer has closed or reset the connection. Whether a peer that has closed still receives is found out by sending it a space, which JSON allows before a message: a peer that has left answers with a reset. The same at the end of file while jobs are open.

Tests: both in leaving_clients.rs fail on ("gone1" is started; the running job is not cancelled within 8 s) and pass now; a client that closes its sending side still gets its answers (serving.rs, as it was).

--- a/crates/hazelgrade-net/src/lib.rs
+++ b/crates/hazelgrade-net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod connection_end;
 pub mod lines;
 pub mod notify;
+pub mod peer_state;
 pub mod stream;
 pub mod transient;
 pub mod write_queue;
--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -57,6 +57,8 @@
     /// The reason of a pending request to close the connection once it is idle.
     pub(super) close_reason: Cell<Option<ConnectionEnd>>,
     close_requested: Notify,
+    /// Whether a probe was sent to the peer, because it had closed its sending side.
+    pub(super) probed: Cell<bool>,
     /// Whether the write side has been shut down. Bytes that the peer sends after that are read and dropped.
     pub(super) half_closed: Cell<bool>,
     /// Notified to end the linger before the peer has closed its side.
@@ -90,6 +92,7 @@
             reader_waits: Cell::new(false),
             close_reason: Cell::new(None),
             close_requested: Notify::default(),
+            probed: Cell::new(false),
             half_closed: Cell::new(false),
             linger_aborted: Notify::default(),
             write_stalled: Notify::default(),
--- a/crates/hazelgrade-server/src/transport/clients/reader.rs
+++ b/crates/hazelgrade-server/src/transport/clients/reader.rs
@@ -7,6 +7,7 @@
 use futures_lite::io::{AsyncBufReadExt, AsyncRead, BufReader};
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::lines::read_line;
+use hazelgrade_net::peer_state::{PeerState, peer_state};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,13 @@
 const LINGER: Duration = Duration::from_millis(300);
 /// Maximum number of bytes that are read after the half-close; the connection of a peer that sends more is reset.
 const MAX_LINGER_BYTES: usize = 128 * 1024;
+/// What is sent to a peer that has closed its sending side, to find out whether it still receives: JSON allows a space
+/// before any message.
+const PROBE: &str = " ";
+/// How long the reader waits for the effect of a probe.
+const PROBE_WAIT: Duration = Duration::from_millis(10);
+/// How often it is checked, after the last message, whether the peer still receives.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl<T: Clone + PartialEq> ClientConnection<T> {
     /// Reads messages of at most `max_line_bytes` and passes each to `on_line`, until the connection ends or must be
@@ -33,7 +41,10 @@
         closing_line: impl Fn(ConnectionEnd) -> Option<String>,
     ) -> ConnectionEnd {
         let mut source = BufReader::with_capacity(READ_BUFFER_BYTES, source);
-        let end = self.read_messages(&mut source, max_line_bytes, on_line).await;
+        let mut end = self.read_messages(&mut source, socket, max_line_bytes, on_line).await;
+        if self.has_open_calls() && self.peer_has_left(socket).await {
+            end = ConnectionEnd::Reset;
+        }
         if end == ConnectionEnd::Reset {
             return end;
         }
@@ -41,7 +52,17 @@
         if let Some(line) = closing_line(end) {
             self.send(&line);
         }
-        self.finish_calls(end).await;
+        let finished = async {
+            self.finish_calls(end).await;
+            true
+        };
+        let left = async {
+            peer_left(socket).await;
+            false
+        };
+        if !or(finished, left).await {
+            return ConnectionEnd::Reset;
+        }
         let _ = socket.get_ref().shutdown(Shutdown::Write);
         self.half_closed.set(true);
         self.reader_waits.set(true);
@@ -52,6 +73,7 @@
     async fn read_messages(
         &self,
         source: &mut BufReader<impl AsyncRead + Unpin>,
+        socket: &Async<TcpStream>,
         max_line_bytes: usize,
         on_line: impl AsyncFn(&[u8]),
     ) -> ConnectionEnd {
@@ -75,6 +97,9 @@
             self.message_started.set(None);
             self.close_reason.set(None);
             self.message_bytes.set(line.len());
+            if self.peer_has_left(socket).await {
+                return ConnectionEnd::Reset;
+            }
             on_line(&line).await;
             if self.has_too_many_violations() {
                 return ConnectionEnd::ProtocolViolation;
@@ -98,6 +123,17 @@
         read_line(source, line, max_line_bytes).await
     }
 
+    /// Returns whether the peer receives nothing any more, so that nobody waits for what it sent before. A peer that has
+    /// only closed its sending side still gets its answers; the first time that side is found closed, a probe tells the
+    /// two apart, because the system of a peer that has closed the connection answers it with a reset.
+    async fn peer_has_left(&self, socket: &Async<TcpStream>) -> bool {
+        if peer_state(socket.get_ref()) == PeerState::ClosedForSending && !self.probed.replace(true) {
+            self.send(PROBE);
+            Timer::after(PROBE_WAIT).await;
+        }
+        peer_state(socket.get_ref()) == PeerState::Gone
+    }
+
     /// Waits until every open call is answered and every answer has been handed to the operating system. Does not wait
     /// for the calls of an untrusted peer that violated the protocol.
     async fn finish_calls(&self, end: ConnectionEnd) {
@@ -126,3 +162,10 @@
         or(drain_input, or(timeout, self.linger_aborted.notified())).await;
     }
 }
+
+/// Waits until the peer receives nothing any more.
+async fn peer_left(socket: &Async<TcpStream>) {
+    while peer_state(socket.get_ref()) != PeerState::Gone {
+        Timer::after(PEER_CHECK_INTERVAL).await;
+    }
+}
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod honest_clients;
 mod input;
+mod leaving_clients;
 mod log;
 mod process;
 mod retries;
