The id of a job that was started does not run again after its client has left

Cause: an id was known only while its job was in flight; a copy with another time stamp passed for another job.

A copy fails and does not run, and no answer to it says "never ran", whether it is denied, expired, not served or without a free call. Requests under one id are one job if names and body are the same.

--- a/crates/hazelgrade-server/src/program/serve/services.rs
+++ b/crates/hazelgrade-server/src/program/serve/services.rs
@@ -83,6 +83,7 @@
             driver: driver.clone(),
             in_flight,
             result_cache,
+            started_jobs: RefCell::default(),
             dependency_calls,
             executor,
             settings: RefCell::new(Rc::new(host_settings)),
--- a/crates/hazelgrade-server/src/routing/context.rs
+++ b/crates/hazelgrade-server/src/routing/context.rs
@@ -8,6 +8,7 @@
 use super::event_log::{EventLog, UnservedCause};
 use super::in_flight::{InFlightTable, JobEvent};
 use super::result_cache::ResultCache;
+use super::started_jobs::StartedJobs;
 use crate::protocol::executor::{Command, encode};
 use crate::protocol::jsonrpc::{self, Answer};
 use crate::transport::clients::ClientConnection;
@@ -25,6 +26,8 @@
     pub in_flight: Rc<InFlightTable>,
     /// Results of keyed jobs, with which their retries are answered.
     pub result_cache: Rc<ResultCache>,
+    /// The ids of the jobs that were started.
+    pub started_jobs: RefCell<StartedJobs>,
     /// The calls to the database.
     pub dependency_calls: Rc<DependencyCalls>,
     /// The link to the executor.
--- a/crates/hazelgrade-server/src/routing/counters.rs
+++ b/crates/hazelgrade-server/src/routing/counters.rs
@@ -31,4 +31,6 @@
     pub lost_runs: u64,
     /// Jobs whose run the executor refused to start because the job is unknown to it.
     pub unknown_to_executor: u64,
+    /// Copies of jobs that were started before and have ended; each fails without a run.
+    pub copies_of_started: u64,
 }
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -99,9 +99,7 @@
         mut request: JobRequest,
         unserved: Option<&RequestError>,
     ) {
-        if let Some(error) = unserved
-            && !self.is_known_retry(&request)
-        {
+        if let Some(error) = unserved.filter(|_| !self.may_have_run(&request)) {
             return self.handle_invalid_message(connection, error);
         }
         if !connection.wait_for_free_call(self.free_call_deadline(&request)).await {
@@ -110,9 +108,14 @@
         if self.context.callers.is_enabled() && !self.is_tenant_resolved(&request) {
             return self.deny(connection, &request, DenyReason::TenantNotAllowed);
         }
-        match self.context.callers.authorize(&self.context.driver.clock, caller, &mut request) {
-            Ok(()) => self.admit(connection, request),
-            Err(reason) => self.deny(connection, &request, reason),
+        if let Err(reason) = self.context.callers.authorize(&self.context.driver.clock, caller, &mut request)
+        {
+            return self.deny(connection, &request, reason);
+        }
+        // What is known of the job may have expired during the wait.
+        match unserved.filter(|_| !self.may_have_run(&request)) {
+            Some(error) => self.handle_invalid_message(connection, error),
+            None => self.admit(connection, request),
         }
     }
 
@@ -130,8 +133,21 @@
         Some(self.context.result_cache.job_key(self.owner(request), idempotency_key, &request.body))
     }
 
-    /// Returns whether another try of the same job may have run within its window, is running, or may still start. No
-    /// answer may then say that the job never ran.
+    /// Returns whether this job, or another try of it, may have run, is running, or may still start. No answer may then
+    /// say that it never ran.
+    fn may_have_run(&self, request: &JobRequest) -> bool {
+        self.is_copy(request) || self.is_known_retry(request)
+    }
+
+    /// Returns whether the job is a copy, with the same id, of one that is in flight or was started.
+    fn is_copy(&self, request: &JobRequest) -> bool {
+        let fingerprint = JobFingerprint::new(request, self.owner(request));
+        let in_flight = self.context.in_flight.has_fingerprint(&request.job.id, &fingerprint);
+        in_flight.unwrap_or_else(|| self.context.started_jobs.borrow().contains(&request.job.id))
+    }
+
+    /// Returns whether the job has the key of another try that may have run within its window, is running, or may still
+    /// start.
     fn is_known_retry(&self, request: &JobRequest) -> bool {
         let clock = &self.context.driver.clock;
         let received_at = clock.time_of_stamp(request.job.received_at).unwrap_or_else(|| clock.now());
@@ -207,7 +223,9 @@
         let is_original = |key: &JobKey| context.result_cache.original(key, received_at).is_none();
         // An idempotent job may run again, unless it is a retry of one that was promised to run once.
         let key = self.job_key(&request).filter(|key| !(is_idempotent && is_original(key)));
-        if self.answer_if_finished(connection, &request, key.as_ref()) {
+        if self.answer_if_finished(connection, &request, key.as_ref())
+            || self.answer_if_started(connection, &request)
+        {
             return;
         }
         connection.add_call(call_id, id.clone());
@@ -274,6 +292,19 @@
         true
     }
 
+    /// Answers a job whose id was started before and has ended: the job fails, as its effect can't be excluded. It counts
+    /// no violation, because a client may send a job once more after its connection broke. Returns `false` if the id was
+    /// not started.
+    fn answer_if_started(&self, connection: &ClientConnection<JobId>, request: &JobRequest) -> bool {
+        let is_started = self.context.started_jobs.borrow().contains(&request.job.id);
+        if is_started {
+            self.context.counters.borrow_mut().copies_of_started += 1;
+            self.answer(connection, request.call_id, &Answer::Failed);
+            self.context.count_rejection(connection);
+        }
+        is_started
+    }
+
     /// Answers a job whose deadline has passed, and returns `false` for it. Returns `true` for any other job.
     ///
     /// A job that expired while it may have waited for this node to read it is rejected. Any other one was sent with a
--- a/crates/hazelgrade-server/src/routing/front_end/refusals.rs
+++ b/crates/hazelgrade-server/src/routing/front_end/refusals.rs
@@ -26,7 +26,7 @@
         }
     }
 
-    /// Sends the answer to a job that is not admitted. If another try of the job may have run or may still run, the
+    /// Sends the answer to a job that is not admitted. If the job or another try of it may have run or may still run, the
     /// answer is a failure: a rejection or a denial would say that the job never ran, and its caller could send it to
     /// another instance.
     pub(super) fn answer_unadmitted(
@@ -35,7 +35,7 @@
         request: &JobRequest,
         answer: &Answer,
     ) {
-        let is_untrue = answer.says_never_ran() && self.is_known_retry(request);
+        let is_untrue = answer.says_never_ran() && self.may_have_run(request);
         let answer = if is_untrue { &Answer::Failed } else { answer };
         self.answer(connection, request.call_id, answer);
     }
@@ -123,7 +123,10 @@
         request: &JobRequest,
         answer: &Answer,
     ) {
-        self.answer_unadmitted(connection, request, answer);
+        // Another job under an id that is in use never ran, unless it repeats a third one.
+        let is_untrue = answer.says_never_ran() && self.is_known_retry(request);
+        let answer = if is_untrue { &Answer::Failed } else { answer };
+        self.answer(connection, request.call_id, answer);
         self.context.event_log.violation(
             connection.number,
             Some(request.call_id),
--- a/crates/hazelgrade-server/src/routing/in_flight.rs
+++ b/crates/hazelgrade-server/src/routing/in_flight.rs
@@ -11,7 +11,7 @@
 use crate::transport::clients::ClientConnection;
 use async_channel::{Receiver, Sender, bounded};
 use hazelgrade::api::{Job, JobId};
-use hazelgrade::time::{Span, Time};
+use hazelgrade::time::Span;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -99,27 +99,17 @@
     }
 }
 
-/// Tells whether two requests with the same job id request the same job.
+/// Tells whether two requests with the same job id request the same job. Their time stamps and ranks may differ.
 #[derive(PartialEq)]
 pub struct JobFingerprint {
     owner: JobOwner,
-    received_at: Time,
-    queued_kb: f64,
-    priority_rank: f64,
     body: Body,
 }
 
 impl JobFingerprint {
     /// Returns the fingerprint of a request as it was decoded, for a job of this owner.
     pub fn new(request: &JobRequest, owner: JobOwner) -> JobFingerprint {
-        let job = &request.job;
-        JobFingerprint {
-            owner,
-            received_at: job.received_at,
-            queued_kb: job.queued_kb,
-            priority_rank: job.priority_rank,
-            body: request.body.clone(),
-        }
+        JobFingerprint { owner, body: request.body.clone() }
     }
 }
 
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -203,13 +203,10 @@
     /// Starts the job's run on the executor.
     fn start_run(&self) -> Run {
         tracing::trace!(job = &*self.id, "run started");
-        let mut run = Run {
-            started_at: self.context.driver.clock.now(),
-            unconfirmed: None,
-            event_deadline: None,
-            cancelled: false,
-            call: None,
-        };
+        let started_at = self.context.driver.clock.now();
+        self.context.started_jobs.borrow_mut().record(started_at, &self.id);
+        let mut run =
+            Run { started_at, unconfirmed: None, event_deadline: None, cancelled: false, call: None };
         self.send_run_command(&mut run, RunCommand::StartRun);
         run
     }
--- a/crates/hazelgrade-server/src/routing/mod.rs
+++ b/crates/hazelgrade-server/src/routing/mod.rs
@@ -20,4 +20,5 @@
 pub mod outcome;
 pub mod result_cache;
 pub mod run_command;
+pub mod started_jobs;
 pub mod timers;
--- a/crates/hazelgrade-server/tests/instance/leaving_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/leaving_clients.rs
@@ -1,6 +1,9 @@
 //! Clients that leave with requests unread or unanswered: nobody waits for these jobs any more.
 
 use crate::common::*;
+use hazelgrade::api::JobId;
+use hazelgrade::time::Time;
+use hazelgrade_server::routing::started_jobs::StartedJobs;
 use serde_json::{Value, json};
 
 fn run_ended(cursor: u64, id: &str, fate: &str) -> Value {
@@ -81,3 +84,79 @@
         running.retain(|running| *running != command["handle"]);
     }
 }
+
+/// JSON-RPC error code of a failure, which does not say that the job never ran.
+const FAILED: i64 = -32000;
+
+/// Sends a job of the first class, lets it start, and resets its connection.
+fn start_and_leave(instance: &Instance, link: &mut Peer, id: &str) {
+    let mut client = instance.client();
+    client.send(&job(1, "read", id));
+    let command = link.command();
+    assert_eq!((&command["event"], &command["handle"]), (&json!("EXEC"), &json!(id)));
+    client.send(&json!({"jsonrpc": "2.0", "id": 90, "method": "ping"}));
+    assert!(client.stream().peek(&mut [0]).is_ok_and(|count| count == 1));
+}
+
+/// Guards against a second run under the id of a job that was started for a client that has left, and against an answer
+/// that says that it never ran.
+#[test]
+fn an_id_that_comes_again_after_its_client_has_left_is_failed_and_does_not_run_again() {
+    for idempotency in ["safe", "unsafe"] {
+        let instance = Instance::start_with(|configuration| {
+            configuration["settings"]["classes"][0]["idempotency"] = json!(idempotency);
+        });
+        let (mut link, mut other) = instance.ready();
+        let copy = |other: &mut Peer, call: u64, is_late: bool| {
+            let mut copy = job(call, "read", "a1");
+            copy["params"]["resent"] = json!(1);
+            if is_late {
+                copy["params"]["ts"] = json!(unix_ms() - 60_000);
+            }
+            other.send(&copy);
+            assert_eq!(
+                other.receive()["error"]["code"],
+                FAILED,
+                "{idempotency}, call {call}, late: {is_late}"
+            );
+        };
+        start_and_leave(&instance, &mut link, "a1");
+        copy(&mut other, 1, false);
+        if idempotency == "safe" {
+            assert!(link.receives_cancel("a1"));
+        }
+        link.send(&run_ended(1, "a1", if idempotency == "safe" { "cut" } else { "good" }));
+        // The next job runs, so the end of the first one has been handled.
+        for (cursor, call) in [(2, 2), (3, 3)] {
+            let id = format!("b{call}");
+            other.send(&job(call, "read", &id));
+            assert_eq!(link.command()["handle"], id, "{idempotency}");
+            link.send(&run_ended(cursor, &id, "good"));
+            assert_eq!(other.receive()["result"]["body"], "b25l");
+        }
+        (4..=10).for_each(|call| copy(&mut other, call, false));
+        copy(&mut other, 11, true);
+        other.send(&job(12, "read", "c1"));
+        assert_eq!(link.command()["handle"], "c1", "{idempotency}");
+    }
+}
+
+/// Guards against a table of started ids that grows without end, and against one that forgets ids too early.
+#[test]
+fn the_ids_of_started_jobs_are_known_for_a_minute_and_bounded_in_number() {
+    let mut started = StartedJobs::default();
+    let id = |number: u32| JobId::from(format!("a{number}"));
+    let at = |seconds: f64| Time::from_ms(seconds * 1000.0);
+    (0..100).for_each(|number| started.record(at(0.0), &id(number)));
+    started.record(at(59.0), &id(100));
+    assert!((0..=100).all(|number| started.contains(&id(number))));
+    started.record(at(61.0), &id(101));
+    assert!(!(0..100).any(|number| started.contains(&id(number))));
+    assert!(started.contains(&id(100)) && started.contains(&id(101)));
+    (0..100_000).for_each(|number| started.record(at(61.0), &id(number)));
+    assert_eq!(started.count(), MAX_STARTED_IDS);
+    assert!(started.contains(&id(99_999)) && !started.contains(&id(100)));
+}
+
+/// Ids of started jobs that an instance knows at most.
+const MAX_STARTED_IDS: usize = 32_768;
