All client connections share a quarter of the memory limit for unwritten answers

Cause: a write queue has a bound of its own (256 KiB, and as much again in a blocked write) and all of them together had none. Excluded: result cache, line buffers, jobs in flight.

Change: what is queued for all clients counts against a quarter of memory_mb. Past half of it a connection is read only once its own answers are written; past all of it one that has taken nothing for half a second ends.

--- a/crates/hazelgrade-net/src/write_queue.rs
+++ b/crates/hazelgrade-net/src/write_queue.rs
@@ -12,10 +12,48 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// How long a write may be blocked before its connection gives way to others once all of them hold too much.
+const MAX_BLOCKED_WHEN_FULL: Duration = Duration::from_millis(500);
+
+/// The bytes that wait to be written to several connections together.
+#[derive(Debug)]
+pub struct QueuedBytes {
+    bytes: Cell<usize>,
+    max_bytes: usize,
+}
+
+impl QueuedBytes {
+    /// No bytes, of at most `max_bytes`.
+    pub fn new(max_bytes: usize) -> QueuedBytes {
+        QueuedBytes { bytes: Cell::new(0), max_bytes }
+    }
+
+    /// Whether half of the bytes are in use: from then on a connection with unwritten messages should get no more.
+    pub fn is_scarce(&self) -> bool {
+        self.bytes.get() > self.max_bytes / 2
+    }
+
+    fn has_room_for(&self, bytes: usize) -> bool {
+        self.bytes.get() + bytes <= self.max_bytes
+    }
+
+    fn add(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
+    fn remove(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get().saturating_sub(bytes));
+    }
+}
+
 /// Messages that wait to be written to one connection.
 pub struct WriteQueue {
     queued: RefCell<Vec<u8>>,
     max_bytes: usize,
+    /// Bytes that were pushed and not handed to the system yet, those of the write in progress included.
+    unwritten: Cell<usize>,
+    /// The unwritten bytes of this and other connections.
+    shared: Rc<QueuedBytes>,
     /// Messages that were pushed and not handed to the system yet.
     pending: Cell<usize>,
     /// Number of the last message that was pushed; the first message has number 1.
@@ -34,9 +72,16 @@
 impl WriteQueue {
     /// An empty queue for at most `max_bytes`.
     pub fn new(max_bytes: usize) -> WriteQueue {
+        WriteQueue::sharing(max_bytes, Rc::new(QueuedBytes::new(usize::MAX)))
+    }
+
+    /// An empty queue for at most `max_bytes`, and for no more than what other queues leave of `shared`.
+    pub fn sharing(max_bytes: usize, shared: Rc<QueuedBytes>) -> WriteQueue {
         WriteQueue {
             queued: RefCell::default(),
             max_bytes,
+            unwritten: Cell::new(0),
+            shared,
             pending: Cell::new(0),
             last_pushed: Cell::new(0),
             first_unsent: Cell::new(1),
@@ -49,15 +94,20 @@
     }
 
     /// Queues a message and returns its number. If it doesn't fit, the connection ends with
-    /// [`ConnectionEnd::WriteQueueFull`].
+    /// [`ConnectionEnd::WriteQueueFull`]. If only the other queues leave no room, it does so once its peer has taken
+    /// nothing for half a second.
     pub fn push(&self, message: &[u8]) -> u64 {
         let number = self.last_pushed.get() + 1;
         self.last_pushed.set(number);
         let mut queued = self.queued.borrow_mut();
-        if queued.len() + message.len() > self.max_bytes {
+        let gives_way =
+            !self.shared.has_room_for(message.len()) && self.blocked_for() > MAX_BLOCKED_WHEN_FULL;
+        if gives_way || queued.len() + message.len() > self.max_bytes {
             self.overflowed.set(true);
         } else {
             queued.extend_from_slice(message);
+            self.unwritten.set(self.unwritten.get() + message.len());
+            self.shared.add(message.len());
             self.pending.set(self.pending.get() + 1);
         }
         self.pushed.notify();
@@ -153,7 +203,15 @@
         };
         written.await.map_err(|error: io::Error| ConnectionEnd::from_io_error(&error))?;
         self.write_started.set(None);
+        self.unwritten.set(self.unwritten.get().saturating_sub(bytes.len()));
+        self.shared.remove(bytes.len());
         self.pending.set(self.pending() - count);
         Ok(())
     }
 }
+
+impl Drop for WriteQueue {
+    fn drop(&mut self) {
+        self.shared.remove(self.unwritten.get());
+    }
+}
--- a/crates/hazelgrade-server/src/program/configuration.rs
+++ b/crates/hazelgrade-server/src/program/configuration.rs
@@ -15,6 +15,9 @@
 /// The share of the memory limit for the result cache. The rest is left for jobs in flight and connections.
 const RESULT_CACHE_RATIO: f64 = 0.125;
 
+/// The share of the memory limit for messages that wait to be written to clients.
+const UNWRITTEN_RATIO: f64 = 0.25;
+
 /// The limit on open file descriptors if the configuration sets none.
 const DEFAULT_SOCKETS: usize = 1024;
 
@@ -178,6 +181,11 @@
         (self.memory_mb * RESULT_CACHE_RATIO * BYTES_PER_MB) as usize
     }
 
+    /// Returns how many bytes may wait to be written to all clients together.
+    pub fn max_unwritten_bytes(&self) -> usize {
+        (self.memory_mb * UNWRITTEN_RATIO * BYTES_PER_MB) as usize
+    }
+
     /// Lowers the limits of the process to those of a serving document. A document can't raise a limit.
     pub fn lower_limits(&mut self, limits: ResourceLimits) {
         if let Some(sockets) = limits.sockets {
--- a/crates/hazelgrade-server/src/program/serve/services.rs
+++ b/crates/hazelgrade-server/src/program/serve/services.rs
@@ -93,7 +93,10 @@
         });
         let front_end = Rc::new(FrontEnd {
             context: context.clone(),
-            connections: ClientConnections::new(deployment.max_client_connections()),
+            connections: ClientConnections::new(
+                deployment.max_client_connections(),
+                deployment.max_unwritten_bytes(),
+            ),
             tasks: tasks.clone(),
             invalid_messages: Cell::new(0),
             tls: Rc::new(Tls::default()),
--- a/crates/hazelgrade-server/src/transport/clients/connection.rs
+++ b/crates/hazelgrade-server/src/transport/clients/connection.rs
@@ -8,7 +8,7 @@
 use futures_lite::future::or;
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::notify::Notify;
-use hazelgrade_net::write_queue::WriteQueue;
+use hazelgrade_net::write_queue::{QueuedBytes, WriteQueue};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -38,6 +38,8 @@
     /// Length of the message that is being handled, in bytes.
     pub(super) message_bytes: Cell<usize>,
     pub(super) write_queue: Rc<WriteQueue>,
+    /// What is queued for all clients together.
+    pub(super) unwritten: Rc<QueuedBytes>,
     open_calls: RefCell<BTreeMap<u64, T>>,
     pooled_calls: PooledCalls,
     /// Notified when a call is closed, and when the maximum number of open calls or the number of violations has
@@ -73,6 +75,7 @@
         connected_after: Instant,
         throttle: Rc<SharedThrottle>,
         pooled_calls: PooledCalls,
+        unwritten: Rc<QueuedBytes>,
     ) -> ClientConnection<T> {
         ClientConnection {
             number,
@@ -80,7 +83,8 @@
             throttle,
             allowance: MessageAllowance::new(Instant::now()),
             message_bytes: Cell::new(0),
-            write_queue: Rc::new(WriteQueue::new(WRITE_QUEUE_BYTES)),
+            write_queue: Rc::new(WriteQueue::sharing(WRITE_QUEUE_BYTES, unwritten.clone())),
+            unwritten,
             open_calls: RefCell::default(),
             pooled_calls,
             calls_changed: Notify::default(),
--- a/crates/hazelgrade-server/src/transport/clients/reader.rs
+++ b/crates/hazelgrade-server/src/transport/clients/reader.rs
@@ -79,7 +79,9 @@
     ) -> ConnectionEnd {
         let mut line = Vec::new();
         loop {
-            if self.write_queue.pending() > MAX_OPEN_CALLS + MAX_EXTRA_PENDING_MESSAGES {
+            if self.write_queue.pending() > MAX_OPEN_CALLS + MAX_EXTRA_PENDING_MESSAGES
+                || self.unwritten.is_scarce()
+            {
                 self.write_queue.flushed().await;
             }
             if self.is_throttled() {
--- a/crates/hazelgrade-server/src/transport/clients/table.rs
+++ b/crates/hazelgrade-server/src/transport/clients/table.rs
@@ -11,6 +11,7 @@
 use hazelgrade_net::connect::disable_nagle;
 use hazelgrade_net::connection_end::ConnectionEnd;
 use hazelgrade_net::stream::SplitStream;
+use hazelgrade_net::write_queue::QueuedBytes;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -67,6 +68,7 @@
     pub max_connections: usize,
     throttle: Rc<SharedThrottle>,
     call_pool: Rc<CallPool>,
+    unwritten: Rc<QueuedBytes>,
     /// The first message to send on each new connection, if any.
     greeting: RefCell<Option<String>>,
     /// Number of connections closed since the start because the peer violated the protocol or exceeded a time limit.
@@ -74,8 +76,9 @@
 }
 
 impl<T: Clone + PartialEq> ClientConnections<T> {
-    /// Creates an empty table for at most `max_connections` connections.
-    pub fn new(max_connections: usize) -> ClientConnections<T> {
+    /// Creates an empty table for at most `max_connections` connections, for which at most `max_unwritten_bytes` wait to
+    /// be written together.
+    pub fn new(max_connections: usize, max_unwritten_bytes: usize) -> ClientConnections<T> {
         ClientConnections {
             connections: RefCell::default(),
             last_number: Cell::new(0),
@@ -84,6 +87,7 @@
             max_connections,
             throttle: Rc::new(SharedThrottle::new(Instant::now())),
             call_pool: Rc::default(),
+            unwritten: Rc::new(QueuedBytes::new(max_unwritten_bytes)),
             greeting: RefCell::default(),
             closed_for_violation: Cell::new(0),
         }
@@ -173,6 +177,7 @@
             accepting.connected_after,
             self.throttle.clone(),
             PooledCalls::new(self.call_pool.clone()),
+            self.unwritten.clone(),
         ));
         if let Some(greeting) = &*self.greeting.borrow() {
             connection.send(greeting);
--- a/crates/hazelgrade-server/tests/instance/crossings.rs
+++ b/crates/hazelgrade-server/tests/instance/crossings.rs
@@ -51,7 +51,7 @@
     fn new() -> ConnectionHarness {
         ConnectionHarness {
             tasks: Rc::new(LocalExecutor::new()),
-            clients: Rc::new(ClientConnections::new(4)),
+            clients: Rc::new(ClientConnections::new(4, usize::MAX)),
             received_lines: Rc::default(),
             last_connection: Rc::default(),
         }
--- a/crates/hazelgrade-server/tests/instance/main.rs
+++ b/crates/hazelgrade-server/tests/instance/main.rs
@@ -12,6 +12,7 @@
 mod input;
 mod leaving_clients;
 mod log;
+mod memory;
 mod process;
 mod retries;
 mod serving;
--- a/crates/hazelgrade-server/tests/instance/serving.rs
+++ b/crates/hazelgrade-server/tests/instance/serving.rs
@@ -463,7 +463,7 @@
     let address = listener.get_ref().local_addr().expect("get the local address");
     let streams: Vec<_> =
         (0..3).map(|_| std::net::TcpStream::connect(address).expect("connect to the listener")).collect();
-    let clients: ClientConnections<JobId> = ClientConnections::new(2);
+    let clients: ClientConnections<JobId> = ClientConnections::new(2, usize::MAX);
     let accepting = std::cell::RefCell::new(Vec::new());
     let take = || {
         let before = accepting.borrow().len();
