--- a/crates/hazelgrade-server/src/protocol/jsonrpc/error.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/error.rs
@@ -43,6 +43,9 @@
     /// The method is not the name of a job class that this instance serves.
     #[error("field method: expected a use case of this site")]
     UnknownMethod,
+    /// The tenant is not the name of one that is configured on this instance.
+    #[error("field owner: expected a customer of this site")]
+    UnknownTenant,
     /// A field of the request's parameters is missing or invalid.
     #[error(transparent)]
     InvalidParam(#[from] InvalidField),
@@ -58,6 +61,12 @@
 }
 
 impl Reason {
+    /// Returns whether the message only has a name that this instance does not know. That is no fault of the client:
+    /// other instances may have another version of the configuration.
+    pub fn is_unknown_name(&self) -> bool {
+        matches!(self, Reason::UnknownMethod | Reason::UnknownTenant)
+    }
+
     /// Returns the JSON-RPC error code for the reason.
     pub fn code(&self) -> i64 {
         match self {
@@ -68,7 +77,7 @@
             | Reason::LineTooLong
             | Reason::TooManyViolations => INVALID_REQUEST,
             Reason::UnknownMethod => METHOD_NOT_FOUND,
-            Reason::InvalidParam(_) => INVALID_PARAMS,
+            Reason::UnknownTenant | Reason::InvalidParam(_) => INVALID_PARAMS,
         }
     }
 }
--- a/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
@@ -296,7 +296,6 @@
 /// Finds a tenant. The name may be absent if no configured tenant has a name or if the caller's rights determine the
 /// tenant. A name that is not configured may be that of a tenant for whom a job ran before.
 fn find_tenant(call_id: u64, name: Option<&str>, settings: &HostSettings) -> Result<NamedSlot, InvalidField> {
-    let invalid = || InvalidField::new("owner", "a customer of this site");
     let named =
         name.and_then(|name| settings.tenants.iter().position(|tenant| tenant.as_deref() == Some(name)));
     match (named, name) {
@@ -304,9 +303,9 @@
         (None, _) if settings.tenants.iter().all(Option::is_none) => Ok(NamedSlot::in_use(0)),
         (None, None) if settings.authenticates_callers => Ok(NamedSlot::in_use(0)),
         (None, Some(_)) => {
-            let error = RequestError::new(Some(call_id), Reason::InvalidParam(invalid()));
+            let error = RequestError::new(Some(call_id), Reason::UnknownTenant);
             Ok(NamedSlot { slot: 0, unserved: Some(error) })
         }
-        (None, None) => Err(invalid()),
+        (None, None) => Err(InvalidField::new("owner", "a customer of this site")),
     }
 }
--- a/crates/hazelgrade-server/src/routing/front_end/refusals.rs
+++ b/crates/hazelgrade-server/src/routing/front_end/refusals.rs
@@ -13,7 +13,8 @@
 pub(super) const REJECTED: Answer = Answer::Rejected { not_elsewhere: false, retry_after: Span::ZERO };
 
 impl FrontEnd {
-    /// Rejects a job whose job class is not served; any other invalid message counts as a violation.
+    /// Rejects a job whose job class is not served, and fails one with an unknown name; any other invalid message counts
+    /// as a violation.
     pub(super) fn handle_invalid_message(&self, connection: &ClientConnection<JobId>, error: &RequestError) {
         match error.call_id.filter(|_| error.not_served) {
             Some(call_id) => {
@@ -22,10 +23,21 @@
                 self.log_rejected(connection, "-", Span::ZERO, UnservedCause::NotServed);
                 self.context.count_rejection(connection);
             }
+            None if error.reason.is_unknown_name() => self.answer_unknown_name(connection, error),
             None => self.answer_violation(connection, error),
         }
     }
 
+    /// Answers a job whose class or tenant this instance does not know. It counts as a rejection and not as a violation:
+    /// the end of the connection would take the client's other jobs with it.
+    fn answer_unknown_name(&self, connection: &ClientConnection<JobId>, error: &RequestError) {
+        self.invalid_messages.set(self.invalid_messages.get() + 1);
+        connection.send(&jsonrpc::encode_error(error));
+        self.log_rejected(connection, "-", Span::ZERO, UnservedCause::NotServed);
+        connection.count_jobless_message();
+        self.context.count_rejection(connection);
+    }
+
     /// Sends the answer to a job that is not admitted. If the job or another try of it may have run or may still run, the
     /// answer is a failure: a rejection or a denial would say that the job never ran, and its caller could send it to
     /// another instance.
--- a/crates/hazelgrade-server/tests/instance/honest_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/honest_clients.rs
@@ -234,6 +234,37 @@
 /// Client connections that a node with 32 descriptors may have open.
 const PLACES: usize = 8;
 
+/// Guards against cutting off a client that requests jobs of a class, or for a tenant, that this node does not know yet
+/// but the rest of the fleet does: what else was open on the connection, or on its way, was lost (review/8).
+#[test]
+fn jobs_under_names_that_this_node_does_not_know_end_no_connection_and_lose_no_other_job() {
+    let instance = start_with_deadlines(4000, 4000);
+    let (mut link, mut client) = instance.ready();
+    let mut lines = String::new();
+    for call in (1..=40).step_by(2) {
+        let mut unknown = job(call, "read", &format!("u{call}"));
+        match call % 4 {
+            1 => unknown["method"] = json!("reminder"),
+            _ => unknown["params"]["owner"] = json!("newcomer"),
+        }
+        lines.push_str(&format!("{unknown}\n{}\n", job(call + 1, "read", &format!("a{call}"))));
+    }
+    client.write(&lines);
+    let executor = std::thread::spawn(move || {
+        for cursor in 1..=20 {
+            let id = link.command()["handle"].clone();
+            link.send(&json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": "good", "lasted": 9, "arg": "b25l"}));
+        }
+    });
+    for _ in 1..=40 {
+        let answer = client.receive();
+        let is_known = answer["id"].as_u64().is_some_and(|call| call % 2 == 0);
+        assert_eq!(is_known, answer["result"].is_object(), "{answer}");
+    }
+    executor.join().expect("all known jobs ran");
+    assert_eq!(client.check(900)["result"]["up"], true);
+}
+
 /// Guards against cutting off a client whose jobs run, because the executor refused some of its jobs since: what is open
 /// on the connection, or on its way, would be lost through a fault of the executor.
 #[test]
