--- a/crates/hazelgrade-identity/src/authenticator.rs
+++ b/crates/hazelgrade-identity/src/authenticator.rs
@@ -144,6 +144,20 @@
         }
     }
 
+    /// The name of the caller that the credentials identify, whether or not they are valid now and the caller may still
+    /// request anything. A token takes precedence; it is known only if it was verified before.
+    pub fn caller_name(&mut self, credentials: &Credentials, token: Option<&str>) -> Option<String> {
+        if let Some(token) = token {
+            return self.cache.get(&token_digest(token)).map(|verified| verified.caller.clone());
+        }
+        if let Some(verified) = &credentials.token {
+            return Some(verified.caller.clone());
+        }
+        let names = credentials.certificate.as_ref()?.names.iter().map(String::as_str);
+        let caller = self.policy.caller_by_certificate(names)?;
+        Some(self.policy.caller_name(caller).to_owned())
+    }
+
     /// The caller that the credentials identify, if they are valid now.
     fn authenticate(&self, now: Time, credentials: &Credentials) -> Result<CallerId, DenyReason> {
         if let Some(token) = &credentials.token {
--- a/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
+++ b/crates/hazelgrade-server/src/protocol/jsonrpc/request.rs
@@ -60,6 +60,8 @@
     /// The tenant that the request names, whether or not it is a configured one. If the request names none, the
     /// caller's rights determine the tenant.
     pub tenant_name: Option<String>,
+    /// The name of the caller, if the request names no tenant and its caller has been identified.
+    pub caller_name: Option<String>,
 }
 
 /// A decoded job, and why this instance does not admit it under its names, if it doesn't.
@@ -289,7 +291,7 @@
         over_caller_limit: false,
         lease_retry_after: None,
     };
-    let request = JobRequest { call_id, job, body, idempotency_key, token, tenant_name };
+    let request = JobRequest { call_id, job, body, idempotency_key, token, tenant_name, caller_name: None };
     Ok(DecodedJob { request, unserved: tenant.unserved })
 }
 
--- a/crates/hazelgrade-server/src/routing/callers.rs
+++ b/crates/hazelgrade-server/src/routing/callers.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Returns the name of the caller of a request, as far as it is known without verifying a token.
+    pub fn caller_name(&self, caller: &Caller, token: Option<&str>) -> Option<String> {
+        let mut authenticator = self.authenticator.borrow_mut();
+        authenticator.as_mut()?.caller_name(&caller.credentials.borrow(), token)
+    }
+
     /// Decides whether a caller may request a job. Sets the job's tenant if the request does not name one, and records
     /// in the job whether the caller is over its rate limit. A token in the request takes precedence over the
     /// connection's credentials.
@@ -126,8 +132,8 @@
         let tenant = request.tenant_name.as_ref().map(|_| request.job.tenant);
         let token = request
             .token
-            .take()
-            .map(|token| authenticator.verify_token(now, &token, caller.address))
+            .as_deref()
+            .map(|token| authenticator.verify_token(now, token, caller.address))
             .transpose();
         let credentials = caller.credentials.borrow();
         let decision = token.and_then(|token| {
--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -99,6 +99,7 @@
         mut request: JobRequest,
         unserved: Option<&RequestError>,
     ) {
+        self.identify(caller, &mut request);
         if let Some(error) = unserved.filter(|_| !self.may_have_run(&request)) {
             return self.handle_invalid_message(connection, error);
         }
@@ -108,8 +109,11 @@
         if self.context.callers.is_enabled() && !self.is_tenant_resolved(&request) {
             return self.deny(connection, &request, DenyReason::TenantNotAllowed);
         }
-        if let Err(reason) = self.context.callers.authorize(&self.context.driver.clock, caller, &mut request)
-        {
+        let authorized = self.context.callers.authorize(&self.context.driver.clock, caller, &mut request);
+        // A token that was not known before has been verified now, and is not needed any more.
+        self.identify(caller, &mut request);
+        request.token = None;
+        if let Err(reason) = authorized {
             return self.deny(connection, &request, reason);
         }
         // What is known of the job may have expired during the wait.
@@ -245,10 +249,18 @@
     /// Returns the names by which a job is known in every version of the configuration.
     fn owner(&self, request: &JobRequest) -> JobOwner {
         let settings = self.context.settings.borrow();
+        let job_class = settings.job_classes[request.job.job_class].name.as_str().into();
+        let caller: Option<Rc<str>> = request.caller_name.as_deref().map(Rc::from);
         let configured = settings.tenants.get(request.job.tenant).and_then(Option::as_deref);
-        JobOwner {
-            job_class: settings.job_classes[request.job.job_class].name.as_str().into(),
-            tenant: request.tenant_name.as_deref().or(configured).map(Rc::from),
+        let configured = configured.filter(|_| caller.is_none());
+        let tenant = request.tenant_name.as_deref().or(configured).map(Rc::from);
+        JobOwner { job_class, tenant, caller }
+    }
+
+    /// Records the name of the caller in a request that names no tenant.
+    fn identify(&self, caller: &Caller, request: &mut JobRequest) {
+        if request.tenant_name.is_none() {
+            request.caller_name = self.context.callers.caller_name(caller, request.token.as_deref());
         }
     }
 
--- a/crates/hazelgrade-server/src/routing/result_cache.rs
+++ b/crates/hazelgrade-server/src/routing/result_cache.rs
@@ -10,14 +10,17 @@
 use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 
-/// The names of a job's class and tenant, which stay the same across versions of the configuration. Their slots do not:
-/// a tenant has another slot, or none, once tenants are configured for the first time or no longer.
+/// The names of a job's class and of those for whom it runs, which stay the same across versions of the configuration.
+/// Slots do not: a tenant has another slot, or none, once tenants are configured for the first time or no longer. Nor
+/// does the tenant that a caller's rights determine.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobOwner {
     /// The name of the job class.
     pub job_class: Rc<str>,
-    /// The tenant that the request names or, if it names none, the one that the caller's rights determine.
+    /// The tenant that the request names or, if it names none and its caller is not known, the configured one.
     pub tenant: Option<Rc<str>>,
+    /// The caller of a request that names no tenant.
+    pub caller: Option<Rc<str>>,
 }
 
 /// Identifies a keyed job across retries by job class, tenant, idempotency key and body. The idempotency key alone is
--- a/crates/hazelgrade-server/tests/identity/retries.rs
+++ b/crates/hazelgrade-server/tests/identity/retries.rs
@@ -69,3 +69,31 @@
     let runs = setup.environment.executor.runs();
     assert!(runs.contains_key(&run_id) && !runs.contains_key(&retry_id));
 }
+
+/// Guards against a second run of a keyed job whose caller has been mapped to another tenant since: the request names no
+/// tenant, so the caller's rights determine another one for the retry.
+#[test]
+fn a_keyed_job_that_has_run_does_not_run_again_when_its_caller_is_mapped_to_another_tenant() {
+    let setup = keyed_setup();
+    let node = setup.node("[identity]\nstreamed = true\n");
+    let mut desk = Desk::connect(&setup, &node);
+    desk.wait_until_denied(None, false);
+    // The first try is the first request with its token.
+    desk.token = setup.token("desk", "40");
+    let first = desk.book(None, "k1");
+    assert!(first["result"].is_object(), "{first}");
+    setup.edit_document(|text| {
+        let (front, desk) = text.split_once("[caller.desk]").expect("the document has the caller");
+        format!("{front}[caller.desk]{}", desk.replacen("\"c0\"", "\"c1\"", 1))
+    });
+    desk.wait_until_denied(Some("c0"), true);
+    let retry = desk.book(None, "k1");
+    assert!(retry["result"].is_object(), "{retry}");
+    let retry_id = format!("b{}", desk.last_call);
+    assert!(!setup.environment.executor.runs().contains_key(&retry_id));
+    // Without any right left, the retry is failed and not denied.
+    setup.edit_document(|text| text.replace("[\"read\", \"book\"]", "[\"read\", ]"));
+    desk.wait_until_denied(None, true);
+    let denied = desk.book(None, "k1");
+    assert_eq!(denied["error"]["code"], FAILED, "{denied}");
+}
--- a/crates/hazelgrade-server/tests/instance/common.rs
+++ b/crates/hazelgrade-server/tests/instance/common.rs
@@ -402,7 +402,7 @@
 
 /// Returns the names under which jobs of the class "book" and the tenant "acme" are known.
 pub fn job_owner() -> JobOwner {
-    JobOwner { job_class: "book".into(), tenant: Some("acme".into()) }
+    JobOwner { job_class: "book".into(), tenant: Some("acme".into()), caller: None }
 }
 
 pub fn unix_ms() -> u64 {
