--- a/crates/hazelgrade/src/controller/mod.rs
+++ b/crates/hazelgrade/src/controller/mod.rs
@@ -138,11 +138,14 @@
     /// Decides on each job that had an event since the last round.
     fn decide_on_events(&mut self, now: Time, decisions: &mut dyn Decisions) {
         for id in std::mem::take(&mut self.undecided) {
-            match self.jobs.get(&id).map(|tracked| tracked.stage) {
-                Some(Stage::Queued) => self.admit(now, &id, decisions),
-                Some(Stage::AwaitingCallPermit) => self.queue_call(now, &id, decisions),
-                Some(Stage::Running) => self.cancel_if_unwanted(&id, decisions),
-                Some(Stage::CallInFlight | Stage::AwaitingOriginal) | None => {}
+            let Some(tracked) = self.jobs.get(&id) else { continue };
+            match tracked.stage {
+                // A job that has run was admitted before: its run was cancelled since its event, and it is queued again.
+                Stage::Queued if tracked.has_run => {}
+                Stage::Queued => self.admit(now, &id, decisions),
+                Stage::AwaitingCallPermit => self.queue_call(now, &id, decisions),
+                Stage::Running => self.cancel_if_unwanted(&id, decisions),
+                Stage::CallInFlight | Stage::AwaitingOriginal => {}
             }
         }
     }
--- a/crates/hazelgrade/tests/failures.rs
+++ b/crates/hazelgrade/tests/failures.rs
@@ -517,3 +517,35 @@
     assert!(controller.call_demand(at(10.0)).wanted >= 1.0);
     assert_eq!(controller.call_demand(at(120_000.0)).wanted, 0.0, "long after the last job");
 }
+
+/// Guards against a second run of a keyed job whose run requests its call and is cut within one round, as after a pause
+/// of the process: the job was taken for one that had just been read, and its record for one of a job that never ran.
+#[test]
+fn a_keyed_job_whose_run_is_cut_in_the_round_of_its_call_keeps_its_record() {
+    let mut settings = setup();
+    settings.job_classes[0].idempotency = Idempotency::Keyed;
+    settings.job_classes[0].retry_window = ms(17_000.0);
+    for ends_call in [false, true] {
+        let mut controller = settings.controller();
+        let started = round(&mut controller, at(0.0), |sink| sink.job_arrived(job("first", at(0.0))));
+        assert_eq!(run_count(&started), 1);
+        if ends_call {
+            round(&mut controller, at(100.0), |sink| sink.call_requested(&"first".into()));
+        }
+        let mut decisions = round(&mut controller, at(5900.0), |sink| {
+            if ends_call {
+                sink.call_ended(&"first".into(), Outcome::Failed, ms(5800.0));
+            } else {
+                sink.call_requested(&"first".into());
+            }
+            sink.run_ended(&"first".into(), Outcome::Cancelled, ms(5900.0));
+        });
+        decisions.extend(round(&mut controller, at(6100.0), |sink| sink.timer_fired(1, None)));
+        assert!(decisions.contains(&Decision::Fail("first".into())), "{decisions:?}");
+        assert!(!decisions.contains(&Decision::RemoveRecord("first".into())), "{decisions:?}");
+        let retry = Job { retry_of: Some("first".into()), ..job("second", at(6300.0)) };
+        let decisions = round(&mut controller, at(6300.0), |sink| sink.job_arrived(retry));
+        assert!(decisions.contains(&Decision::AwaitOriginal("second".into())), "{decisions:?}");
+        assert_eq!(run_count(&decisions), 0, "{decisions:?}");
+    }
+}
