Recognizing copies and retries in a module of its own; the wait for a job's event

The check of the tenant by whose slot a caller is authorized is made only for names that are not served, the only ones that it can concern.

--- a/crates/hazelgrade-server/src/routing/front_end.rs
+++ b/crates/hazelgrade-server/src/routing/front_end.rs
@@ -2,12 +2,13 @@
 //! disconnect. The front end answers health checks and invalid messages itself.
 
 mod refusals;
+mod retries;
 
 use super::callers::Caller;
 use super::context::RequestContext;
 use super::in_flight::{JobFingerprint, Responder};
 use super::job;
-use super::result_cache::{JobKey, JobOwner};
+use super::result_cache::JobKey;
 use crate::protocol::jsonrpc::{self, Answer, ClientMessage, JobRequest, RequestError};
 use crate::transport::clients::{Accepting, ClientConnection, ClientConnections, EndedConnection};
 use crate::transport::listener::AcceptedConnection;
@@ -106,7 +107,7 @@
         if !connection.wait_for_free_call(self.free_call_deadline(&request)).await {
             return self.reject_without_free_call(connection, &request);
         }
-        if self.context.callers.is_enabled() && !self.is_tenant_resolved(&request) {
+        if unserved.is_some() && self.context.callers.is_enabled() && !self.is_tenant_resolved(&request) {
             return self.deny(connection, &request, DenyReason::TenantNotAllowed);
         }
         let authorized = self.context.callers.authorize(&self.context.driver.clock, caller, &mut request);
@@ -123,42 +124,6 @@
         }
     }
 
-    /// Returns whether the tenant that a request names, if it names one, is the one in the slot by which its caller is
-    /// authorized.
-    fn is_tenant_resolved(&self, request: &JobRequest) -> bool {
-        let settings = self.context.settings.borrow();
-        let configured = settings.tenants.get(request.job.tenant).and_then(Option::as_deref);
-        request.tenant_name.is_none() || request.tenant_name.as_deref() == configured
-    }
-
-    /// Returns the key under which the tries of a job are known; `None` if the request has no idempotency key.
-    fn job_key(&self, request: &JobRequest) -> Option<JobKey> {
-        let idempotency_key = request.idempotency_key.as_deref()?;
-        Some(self.context.result_cache.job_key(self.owner(request), idempotency_key, &request.body))
-    }
-
-    /// Returns whether this job, or another try of it, may have run, is running, or may still start. No answer may then
-    /// say that it never ran.
-    fn may_have_run(&self, request: &JobRequest) -> bool {
-        self.is_copy(request) || self.is_known_retry(request)
-    }
-
-    /// Returns whether the job is a copy, with the same id, of one that is in flight or was started.
-    fn is_copy(&self, request: &JobRequest) -> bool {
-        let fingerprint = JobFingerprint::new(request, self.owner(request));
-        let in_flight = self.context.in_flight.has_fingerprint(&request.job.id, &fingerprint);
-        in_flight.unwrap_or_else(|| self.context.started_jobs.borrow().contains(&request.job.id))
-    }
-
-    /// Returns whether the job has the key of another try that may have run within its window, is running, or may still
-    /// start.
-    fn is_known_retry(&self, request: &JobRequest) -> bool {
-        let clock = &self.context.driver.clock;
-        let received_at = clock.time_of_stamp(request.job.received_at).unwrap_or_else(|| clock.now());
-        let key = self.job_key(request);
-        key.is_some_and(|key| self.context.result_cache.original(&key, received_at).is_some())
-    }
-
     /// Returns until when a job may stay unread because its connection has the maximum number of open calls.
     fn free_call_deadline(&self, request: &JobRequest) -> Instant {
         let clock = &self.context.driver.clock;
@@ -246,24 +211,6 @@
         self.tasks.spawn(job::run(request, events, context.clone())).detach();
     }
 
-    /// Returns the names by which a job is known in every version of the configuration.
-    fn owner(&self, request: &JobRequest) -> JobOwner {
-        let settings = self.context.settings.borrow();
-        let job_class = settings.job_classes[request.job.job_class].name.as_str().into();
-        let caller: Option<Rc<str>> = request.caller_name.as_deref().map(Rc::from);
-        let configured = settings.tenants.get(request.job.tenant).and_then(Option::as_deref);
-        let configured = configured.filter(|_| caller.is_none());
-        let tenant = request.tenant_name.as_deref().or(configured).map(Rc::from);
-        JobOwner { job_class, tenant, caller }
-    }
-
-    /// Records the name of the caller in a request that names no tenant.
-    fn identify(&self, caller: &Caller, request: &mut JobRequest) {
-        if request.tenant_name.is_none() {
-            request.caller_name = self.context.callers.caller_name(caller, request.token.as_deref());
-        }
-    }
-
     /// Answers a job whose id is already in flight, and counts a violation, unless the caller of the job in flight is gone.
     /// Returns `false` if the id is not in flight.
     fn answer_if_in_flight(
--- a/crates/hazelgrade-server/src/routing/job.rs
+++ b/crates/hazelgrade-server/src/routing/job.rs
@@ -17,11 +17,9 @@
 use crate::protocol::{Body, from_bytes, to_bytes};
 use crate::transport::executor::NoLink;
 use async_channel::Receiver;
-use async_io::Timer;
-use futures_lite::future::or;
 use hazelgrade::api::{Cancellation, Idempotency, Job, JobId, Outcome};
 use hazelgrade::time::{Span, Time};
-use phase::{Phase, RequestedCall, Run, SentCall, Timeout};
+use phase::{Phase, RequestedCall, Run, SentCall, next_event};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -29,10 +27,6 @@
 /// takes a few milliseconds.
 const REPLY_GRACE: Duration = Duration::from_millis(25);
 
-/// Further delay before a call times out, so that after a pause of the process the replies that are waiting in the
-/// sockets are read first.
-const UNREAD_GRACE: Duration = Duration::from_millis(5);
-
 /// The task of an admitted job.
 struct JobTask {
     id: JobId,
@@ -70,17 +64,6 @@
     Duration::from_secs_f64(span.as_ms() / 1000.0)
 }
 
-/// Waits for the next event of a job, or for the timeout.
-async fn next_event(events: &Receiver<JobEvent>, timeout: Option<Timeout>) -> Option<JobEvent> {
-    let Some(timeout) = timeout else { return events.recv().await.ok() };
-    let timed_out = async {
-        Timer::at(timeout.at()).await;
-        Timer::after(UNREAD_GRACE).await;
-        Some(timeout.event())
-    };
-    or(async { events.recv().await.ok() }, timed_out).await
-}
-
 impl JobTask {
     fn new(job: &Job, body: Body, context: Rc<RequestContext>) -> JobTask {
         let settings = context.settings.borrow().clone();
--- a/crates/hazelgrade-server/src/routing/job/phase.rs
+++ b/crates/hazelgrade-server/src/routing/job/phase.rs
@@ -5,8 +5,15 @@
 use crate::routing::outcome::CallEnd;
 use crate::routing::run_command::{RunCommand, UnconfirmedCommand};
 use crate::transport::executor::NoLink;
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::future::or;
 use hazelgrade::time::Time;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Further delay before a call times out, so that after a pause of the process the replies that are waiting in the
+/// sockets are read first.
+const UNREAD_GRACE: Duration = Duration::from_millis(5);
 
 /// The phase of a job.
 pub(super) enum Phase {
@@ -53,6 +60,17 @@
     }
 }
 
+/// Waits for the next event of a job, or for the timeout.
+pub(super) async fn next_event(events: &Receiver<JobEvent>, timeout: Option<Timeout>) -> Option<JobEvent> {
+    let Some(timeout) = timeout else { return events.recv().await.ok() };
+    let timed_out = async {
+        Timer::at(timeout.at()).await;
+        Timer::after(UNREAD_GRACE).await;
+        Some(timeout.event())
+    };
+    or(async { events.recv().await.ok() }, timed_out).await
+}
+
 /// A run on the executor.
 pub(super) struct Run {
     pub(super) started_at: Time,
