A client that leaves with more jobs unread than it may have open is noticed

With 60 requests written at once and the connection closed, the open jobs went on, and queued ones were started, until one was answered.

Change: a message that waits is given up when its client has left; the open jobs are cancelled within 50 ms.

--- a/crates/hazelgrade-server/src/transport/clients/reader.rs
+++ b/crates/hazelgrade-server/src/transport/clients/reader.rs
@@ -26,7 +26,7 @@
 const PROBE: &str = " ";
 /// How long the reader waits for the effect of a probe.
 const PROBE_WAIT: Duration = Duration::from_millis(10);
-/// How often it is checked, after the last message, whether the peer still receives.
+/// How often it is checked, after the last message and while a message waits, whether the peer still receives.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl<T: Clone + PartialEq> ClientConnection<T> {
@@ -102,7 +102,17 @@
             if self.peer_has_left(socket).await {
                 return ConnectionEnd::Reset;
             }
-            on_line(&line).await;
+            let handled = async {
+                on_line(&line).await;
+                true
+            };
+            let left = async {
+                self.peer_leaves(socket).await;
+                false
+            };
+            if !or(handled, left).await {
+                return ConnectionEnd::Reset;
+            }
             if self.has_too_many_violations() {
                 return ConnectionEnd::ProtocolViolation;
             }
@@ -136,6 +146,16 @@
         peer_state(socket.get_ref()) == PeerState::Gone
     }
 
+    /// Waits until the peer receives nothing any more, for as long as a message waits to be handled.
+    async fn peer_leaves(&self, socket: &Async<TcpStream>) {
+        loop {
+            Timer::after(PEER_CHECK_INTERVAL).await;
+            if self.peer_has_left(socket).await {
+                return;
+            }
+        }
+    }
+
     /// Waits until every open call is answered and every answer has been handed to the operating system. Does not wait
     /// for the calls of an untrusted peer that violated the protocol.
     async fn finish_calls(&self, end: ConnectionEnd) {
--- a/crates/hazelgrade-server/tests/instance/leaving_clients.rs
+++ b/crates/hazelgrade-server/tests/instance/leaving_clients.rs
@@ -5,6 +5,7 @@
 use hazelgrade::time::Time;
 use hazelgrade_server::routing::started_jobs::StartedJobs;
 use serde_json::{Value, json};
+use std::time::{Duration, Instant};
 
 fn run_ended(cursor: u64, id: &str, fate: &str) -> Value {
     json!({"event": "EXIT", "cursor": cursor, "handle": id, "fate": fate, "lasted": 9, "arg": "b25l"})
@@ -85,6 +86,41 @@
     }
 }
 
+/// Guards against jobs that go on, and are started, for a client that has left with more requests unread than it may have
+/// open: its connection was not looked at until one of its jobs was answered.
+#[test]
+fn jobs_in_flight_are_cancelled_when_their_client_leaves_with_further_jobs_unread() {
+    let instance = Instance::start_with(|configuration| {
+        configuration["settings"]["classes"][0]["giveUp"] = json!(30_000);
+        configuration["settings"]["classes"][0]["aim"] = json!(29_000);
+    });
+    let (mut link, mut client) = instance.ready();
+    for call in 1..=60 {
+        client.send(&job(call, "read", &format!("a{call}")));
+    }
+    let mut running = vec![link.command()["handle"].clone()];
+    drop(client);
+    let left_at = Instant::now();
+    // The first that is cancelled shows that the instance knows; until then it may start what it had read.
+    loop {
+        let command = link.command();
+        if command["event"] == "KILL" {
+            break;
+        }
+        running.push(command["handle"].clone());
+    }
+    assert!(left_at.elapsed() < Duration::from_secs(1), "noticed after {:?}", left_at.elapsed());
+    for _ in 1..running.len() {
+        assert_eq!(link.command()["event"], "KILL");
+    }
+    let mut other = instance.client();
+    other.send(&job(1, "read", "b1"));
+    for (cursor, id) in (1..).zip(&running) {
+        link.send(&run_ended(cursor, id.as_str().expect("an id"), "cut"));
+    }
+    assert_eq!(link.command()["handle"], "b1");
+}
+
 /// JSON-RPC error code of a failure, which does not say that the job never ran.
 const FAILED: i64 = -32000;
 
