The clients of the soak drop a retry whose window is over before it can be sent

The node may run it ("a try that came within classes[].window of a try that was run gets no execute"). The client draws the time of a retry within three quarters of the window, but with 32 requests open it sends it whenever it can, however late; the check takes every second run of a key in a life for a broken rule, because "clients try again inside the window only".

Change: the client keeps to that: a retry is dropped once nine tenths of the window have passed.

--- a/crates/hazelgrade-server/tests/clients/client.rs
+++ b/crates/hazelgrade-server/tests/clients/client.rs
@@ -79,11 +79,17 @@
     is_owed: bool,
 }
 
+/// When a retry may be sent at the latest, as a ratio of the window from its first try. The rest is for a thread that is
+/// held up between this decision and the time stamp.
+const LATEST_RETRY_RATIO: f64 = 0.9;
+
 /// A keyed request that is to be tried again.
 struct Retry {
     at: Instant,
     key: String,
     class: usize,
+    /// Not sent any more from then on, because its window would be over before it came to the machine.
+    until: Instant,
 }
 
 struct Connection {
@@ -194,6 +200,7 @@
         if connection.open.len() >= MAX_OPEN {
             return true;
         }
+        self.retries.retain(|retry| Instant::now() < retry.until);
         let due = self.retries.iter().position(|retry| retry.at <= Instant::now());
         let (class, key) = match due.map(|index| self.retries.swap_remove(index)) {
             Some(retry) => (retry.class, Some(retry.key)),
@@ -266,7 +273,8 @@
         if self.random.next_f64() < 1.0 / 3.0 {
             // Leaves a quarter of the window to the wait for the connection and for a free call.
             let after = self.surroundings.window.mul_f64(0.1 + 0.65 * self.random.next_f64());
-            self.retries.push(Retry { at: Instant::now() + after, key: key.clone(), class });
+            let until = Instant::now() + self.surroundings.window.mul_f64(LATEST_RETRY_RATIO);
+            self.retries.push(Retry { at: Instant::now() + after, until, key: key.clone(), class });
         }
         (class, Some(key))
     }
